--- /dev/null
+++ b/topazwall/net/config.py
@@ -0,0 +1,112 @@
+"""What a node is told at its start: the environment and one JSON file, checked before anything listens."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+import resource
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from topazwall import interface as api
+from topazwall.drill import read_settings
+
+Address = tuple[str, int]
+Raw = dict[str, Any]
+
+DEFAULT_SOCKETS = 1024
+
+
+class ConfigError(ValueError):
+    """The configuration can't be used; the text is one line that says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a node is told."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int  # descriptors that the node may hold
+    known: Raw | None  # the list of servers as this node last had it, in discovery's form
+    settings: api.Settings
+
+
+def parse_address(text: object) -> Address:
+    """``host:port`` with a numeric IPv4 host: there are no names to look up."""
+    host, _, port = str(text).rpartition(":")
+    try:
+        number = int(port)
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise ConfigError(f"expected an IPv4 address and a port, got {text!r:.80}") from None
+    if not 0 <= number < 65536:
+        raise ConfigError(f"expected a port below 65536, got {text!r:.80}")
+    return host, number
+
+
+def _object(value: Any, what: str) -> Raw:
+    if not isinstance(value, dict):
+        raise ConfigError(f"{what}: expected an object, got {value!r:.80}")
+    return value
+
+
+def _read(path: str) -> Raw:
+    try:
+        return _object(json.loads(Path(path).read_text("utf-8")), path)
+    except OSError as e:
+        raise ConfigError(f"NODE_CONFIG: {path}: {e.strerror}") from None
+    except (ValueError, RecursionError) as e:
+        raise ConfigError(f"NODE_CONFIG: {path}: {str(e) or 'not JSON'}") from None
+
+
+def _seed(value: object) -> int:
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        raise ConfigError(f"seed: expected a hexadecimal number, got {value!r:.80}") from None
+
+
+def _address(environment: Mapping[str, str], raw: Raw, name: str) -> Address:
+    variable = f"NODE_{name.upper()}"
+    value = environment.get(variable) or raw.get(name)
+    if not value:
+        raise ConfigError(f"{variable}: missing, and the configuration has no {name!r}")
+    try:
+        return parse_address(value)
+    except ConfigError as e:
+        raise ConfigError(f"{variable}: {e}") from None
+
+
+def _sockets(raw: Raw) -> int:
+    limit = _object(raw.get("limits") or {}, "limits").get("sockets", DEFAULT_SOCKETS)
+    if isinstance(limit, bool) or not isinstance(limit, int) or limit < 128:
+        raise ConfigError(f"limits.sockets: expected a whole number of 128 or more, got {limit!r:.80}")
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return limit if soft == resource.RLIM_INFINITY else min(limit, soft)
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """The node's configuration; variables go before the file's own values."""
+    path = environment.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG: missing, expected the path of the configuration")
+    raw = _read(path)
+    try:
+        settings = read_settings(raw.get("settings"))
+    except api.SettingsError as e:
+        raise ConfigError(str(e)) from None
+    known = raw.get("known")
+    return Config(
+        name=str(environment.get("NODE_NAME") or raw.get("name") or "node"),
+        listen=_address(environment, raw, "listen"),
+        discovery=_address(environment, raw, "discovery"),
+        seed=_seed(raw.get("seed", "0")),
+        sockets=_sockets(raw),
+        known=None if known is None else _object(known, "known"),
+        settings=settings,
+    )
--- /dev/null
+++ b/topazwall/net/node.py
@@ -0,0 +1,311 @@
+"""The one place where the module meets the sockets: events in, actions carried out in order, timers kept."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections import deque
+
+from topazwall import interface as api
+from topazwall.choice import Balancer
+from topazwall.net.clock import Clock
+from topazwall.net.config import Address, Config, ConfigError
+from topazwall.net.discovery import BadList, Discovery, Listing, parse
+from topazwall.net.server import HOP, Request, Server
+from topazwall.net.upstream import Attempt, Pool, Reply
+
+log = logging.getLogger(__name__)
+
+RESERVE = 64  # descriptors kept for discovery, the loop, files and callers that are told to go elsewhere
+UPSTREAM_PART = 0.4  # of the other descriptors
+NEVER_CLOSE_IDLE = 60_000_000  # where the settings do not tell the servers' limit
+RUN_OUT_DIGITS = 99_999_999  # more microseconds than this are given in milliseconds
+
+# A load report's names on the sockets, and the module's.
+_REPORT = {
+    "inflight": "in_flight", "queue": "queued", "util": "utilisation", "latency_ms": "latency_ms",
+    "qps": "rate", "eps": "fail_rate",
+}  # fmt: skip
+
+
+def parse_report(text: str) -> dict[str, float]:
+    """``TEXT inflight=7, queue=2``; what is no finite number is left out."""
+    report = {}
+    for part in text.removeprefix("TEXT").split(","):
+        name, _, value = part.strip().partition("=")
+        try:
+            number = float(value)
+        except ValueError:
+            continue
+        if name in _REPORT and math.isfinite(number):
+            report[_REPORT[name]] = number
+    return report
+
+
+def head(request: Request, timeout: int) -> bytes:
+    """The bytes of an attempt: all that goes on unchanged, and how long this attempt may take."""
+    given = b"%du" % timeout if timeout <= RUN_OUT_DIGITS else b"%dm" % (timeout // 1000)
+    lines = [request.method + b" " + request.url + b" HTTP/1.1"]
+    lines += [name + b": " + value for name, value in request.headers if name not in HOP]
+    lines.append(b"x-timeout: " + given)
+    if request.body or request.method not in (b"GET", b"DELETE", b"OPTIONS"):
+        lines.append(b"content-length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+class Node:
+    """One node: the module, the sockets on both sides, and discovery."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        settings = config.settings
+        self.settings, self.clock = settings, Clock(loop)
+        self.balancer = Balancer(settings, config.seed)
+        self.classes = {c.name: c for c in settings.classes}
+        self.requests: dict[int, Request] = {}
+        self.addresses: dict[str, tuple[Address, api.ListedServer]] = {}
+        self.count = 0
+        self._events: deque[api.Event] = deque()
+        self._handling = False
+        upstream = int((config.sockets - RESERVE) * UPSTREAM_PART)
+        self.pool = Pool(
+            loop, self.clock, settings.connect_timeout, settings.connection_idle or NEVER_CLOSE_IDLE, upstream
+        )
+        self.discovery = Discovery(config.discovery, not settings.must_ask, self.listed, self.lost_watch)
+        self.server = Server(loop, self.clock, self, config.listen, config.sockets - RESERVE - upstream)
+        self._start_from(config)
+
+    def _start_from(self, config: Config) -> None:
+        """Start from the list as it was: it may be old, but there is no other yet."""
+        known = Listing(0, True, [])
+        try:
+            if config.known is not None:
+                known = parse(config.known)
+                self.discovery.index = known.index
+        except BadList as e:
+            self.server.close()
+            raise ConfigError(f"known: {e}") from None
+        self.listed(known, saved=True)
+
+    def start(self) -> None:
+        """Serve."""
+        self.discovery.start()
+        self.server.start()
+
+    async def leave(self) -> None:
+        """End as a planned restart asks for: answer what was taken, take nothing after the changeover."""
+        await self.server.leave(max(c.deadline for c in self.settings.classes))
+        self.close()
+
+    def close(self) -> None:
+        """End at once."""
+        self.discovery.stop()
+        self.server.close()
+        self.pool.close()
+
+    # ---- events in
+
+    def post(self, event: api.Event) -> None:
+        """Hand an event to the module; one that comes up while actions are carried out waits its turn."""
+        self._events.append(event)
+        if not self._handling:
+            self._drain()
+
+    def _drain(self) -> None:
+        self._handling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def _handle(self, event: api.Event) -> None:
+        """One event, and its actions in order; a fault is contained to the request that it is about."""
+        try:
+            actions = self.balancer.handle(self.clock.now(), event)
+        except Exception:
+            log.exception("the module failed on %s", type(event).__name__)
+            if isinstance(event, api.Request):
+                self._abandon(event.id)
+            elif isinstance(event, api.AttemptEnded):
+                self._abandon(event.request)
+            return
+        for action in actions:
+            try:
+                self._carry_out(action)
+            except Exception:
+                log.exception("could not carry out %s", action)
+
+    def serving(self) -> bool:
+        """Ready once a server is known that may be sent to."""
+        return bool(self.pool.targets)
+
+    def knows(self, klass: str) -> bool:
+        """Whether there is such a class."""
+        return klass in self.classes
+
+    def take(self, request: Request) -> None:
+        """A request was taken: it is the module's until its one answer."""
+        klass = request.text(b"x-priority-class")
+        now = self.clock.now()
+        due = request.taken + (request.time_left or self.classes[klass].deadline)
+        if self.settings.max_open and len(self.requests) >= self.settings.max_open:
+            return request.caller.answer(request, 503, [], b"")  # as on the simulator: the module sees none
+        self.count += 1
+        request.id = self.count
+        self.requests[request.id] = request
+        # The module ends each request before this; it guards against one that it has forgotten.
+        request.overdue = self.clock.call_at(max(due, now + 1), lambda: self._overdue(request))
+        self.post(
+            api.Request(
+                request.id,
+                klass,
+                max(0, due - now),
+                request.text(b"x-tenant-id"),
+                request.named.get(b"x-retried") == b"1",
+                request.text(b"x-route-key"),
+                self._work(request),
+            )
+        )
+
+    @staticmethod
+    def _work(request: Request) -> int:
+        cost = request.text(b"x-cost")
+        return int(cost) if cost.isascii() and cost.isdigit() and len(cost) < 16 else 0
+
+    def left(self, request: Request) -> None:
+        """The caller is gone: nothing is owed."""
+        self._forget(request)
+        if request.id:
+            self.post(api.ClientGone(request.id))
+
+    def _overdue(self, request: Request) -> None:
+        if not request.answered:
+            log.warning("request %d was left unanswered", request.id)
+            self._abandon(request.id)
+            self.post(api.ClientGone(request.id))
+
+    def listed(self, listing: Listing, saved: bool = False) -> None:
+        """Keep to the list at once: no connection that is given out after this leads elsewhere."""
+        if listing.whole:
+            self.addresses.clear()
+        for entry in listing.entries:
+            if entry.server.state == api.UP:
+                self.addresses[entry.server.id] = entry.address, entry.server
+            else:
+                self.addresses.pop(entry.server.id, None)
+        event = api.ServerList([e.server for e in listing.entries], whole=listing.whole, saved=saved)
+        if listing.entries:
+            log.info(
+                "list %d: %s", listing.index, ", ".join(f"{s.id} {s.state}" for s in event.servers)[:400]
+            )
+        # The module hears of the list before it hears of attempts that the list has ended.
+        self._events.append(event)
+        handling, self._handling = self._handling, True
+        try:
+            self.pool.listed((name, address, s.started) for name, (address, s) in self.addresses.items())
+        finally:
+            self._handling = handling
+        if not handling:
+            self._drain()
+
+    def lost_watch(self) -> None:
+        """Asking failed; the list stays as it is."""
+        self.post(api.ServerList(lost=True))
+
+    # ---- actions out
+
+    def _carry_out(self, action: api.Action) -> None:
+        if isinstance(action, api.SetTimer):
+            token = action.token
+            due = self.clock.now() + action.delay
+            self.clock.call_at(due, lambda: self.post(api.TimerFired(token)))
+        elif isinstance(action, api.Send):
+            self._send(action)
+        elif isinstance(action, api.Refuse):
+            self._finish(action.request, 503, action.retry_after)
+        elif isinstance(action, api.Fail):
+            self._finish(action.request, 502)
+        elif isinstance(action, api.Cancel):
+            self._cancel(action)
+        elif isinstance(action, api.Watch):
+            self.discovery.watch(action.on)
+        elif isinstance(action, api.FetchList):
+            self.discovery.fetch()
+        elif isinstance(action, api.Release):
+            self.pool.release(action.server)
+        elif isinstance(action, api.Log):
+            log.info("%s", action.text)
+        else:  # probes and peers: the module uses neither
+            log.warning("no way to carry out %s", action)
+
+    def _send(self, action: api.Send) -> None:
+        request = self.requests.get(action.request)
+        if request is None or request.attempt is not None:
+            # Guards two rules: nothing is sent for what is over, and no two attempts are out at once.
+            log.error("not sent: request %d is over or has an attempt out", action.request)
+            number = 0 if request is None else request.attempts
+            if request is not None:
+                request.attempts += 1
+            self.post(
+                api.AttemptEnded(
+                    action.request, number, action.server, api.Result.NOT_SENT, 0, request is None
+                )
+            )
+            return
+        number, now = request.attempts, self.clock.now()
+        request.attempts = number + 1
+        attempt = Attempt(
+            action.server,
+            head(request, action.timeout),
+            now + action.timeout,
+            lambda reply: self._ended(request, number, action.server, now, reply),
+        )
+        request.attempt = attempt
+        self.pool.send(attempt)
+
+    def _ended(self, request: Request, number: int, server: str, sent: int, reply: Reply) -> None:
+        """An attempt has ended: what a server answered goes to the caller first, then the module hears."""
+        request.attempt = None
+        if reply.result == api.Result.OK and not request.answered:
+            headers = [(name, value) for name, value in reply.headers if name not in HOP]
+            request.caller.answer(request, 200, headers, reply.body)
+        if request.answered:
+            self._forget(request)
+        report = None
+        if self.settings.report_source == api.ANSWERS:
+            text = dict(reply.headers).get(b"x-server-load")
+            report = parse_report(text.decode("latin-1")) if text else None
+        latency = self.clock.now() - sent
+        self.post(
+            api.AttemptEnded(request.id, number, server, reply.result, latency, request.answered, report)
+        )
+
+    def _finish(self, number: int, status: int, retry_after: int = 0) -> None:
+        """The final answer of a request that no server served, if it is still owed."""
+        request = self.requests.get(number)
+        if request is None:
+            return
+        headers = [(b"retry-after", b"%.3f" % (retry_after / 1e6))] if retry_after else []
+        request.caller.answer(request, status, headers, b"")
+        self._forget(request)
+
+    def _abandon(self, number: int) -> None:
+        """Fail a request that the module can't be trusted with any more, and call its attempt off."""
+        self._finish(number, 500)
+        request = self.requests.get(number)
+        if request is not None and request.attempt is not None:
+            self.pool.cancel(request.attempt)
+
+    def _forget(self, request: Request) -> None:
+        """Nothing is owed any more; while an attempt is out the module may still call it off."""
+        if request.overdue is not None:
+            request.overdue.cancel()
+            request.overdue = None
+        if request.attempt is None:
+            self.requests.pop(request.id, None)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        request = self.requests.get(action.request)
+        if request is not None and request.attempt is not None and action.attempt == request.attempts - 1:
+            self.pool.cancel(request.attempt)
--- /dev/null
+++ b/topazwall/net/upstream.py
@@ -0,0 +1,413 @@
+"""The servers' side: kept connections to each server, one request each, and what came back as an outcome.
+
+Sockets are driven by hand, not by a stream or transport: the rules hang on whether a request's last byte was
+*written to the socket*, and on a connection being closed before anything else happens, which buffers hide.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import socket
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import httptools
+
+from topazwall.interface import Result
+from topazwall.net.clock import Clock
+from topazwall.net.config import Address
+
+log = logging.getLogger(__name__)
+
+MAX_BODY = 64 * 1024
+MAX_HEAD = 16 * 1024
+CHUNK = 64 * 1024
+IDLE_PART = 10  # an idle connection is closed this part of the server's limit before the limit
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass(slots=True)
+class Reply:
+    """How an attempt ended, and what the server said."""
+
+    result: Result
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+
+
+class Attempt:
+    """One attempt: the bytes to write, how long to wait, and whom to tell of its end, once."""
+
+    __slots__ = ("server", "data", "due", "on_end", "connection", "timer", "ended")
+
+    def __init__(self, server: str, data: bytes, due: int, on_end: Callable[[Reply], None]) -> None:
+        self.server, self.data, self.due, self.on_end = server, data, due, on_end
+        self.connection: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.ended = False
+
+    def end(self, reply: Reply) -> None:
+        """Tell the end; whatever comes later is not told."""
+        if self.ended:
+            return
+        self.ended = True
+        self.connection = None
+        if self.timer is not None:
+            self.timer.cancel()
+        self.on_end(reply)
+
+
+class Target:
+    """A server that may be sent to, as discovery last told it, and the connections to it."""
+
+    __slots__ = ("address", "started", "idle", "busy")
+
+    def __init__(self, address: Address, started: int) -> None:
+        self.address, self.started = address, started
+        self.idle: list[Connection] = []  # used last comes last
+        self.busy: set[Connection] = set()
+
+
+class Connection:
+    """One connection; it carries at most one attempt at a time."""
+
+    def __init__(self, pool: Pool, target: Target) -> None:
+        self.pool, self.target = pool, target
+        self.attempt: Attempt | None = None
+        self.keep = True  # may be used again
+        self.connected = self.closed = False
+        self.idle_since = 0
+        self.unsent = memoryview(b"")
+        self.timer: asyncio.TimerHandle | None = None
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._new_reply()
+
+    def _new_reply(self) -> None:
+        self.parser: Any = httptools.HttpResponseParser(self)
+        self.headers: Headers = []
+        self.body: list[bytes] = []
+        self.size = self.status = self.fed = 0
+        self.complete = self.reusable = False
+
+    # ---- opening and writing
+
+    def open(self, attempt: Attempt) -> None:
+        """Connect, then write the attempt."""
+        self.attempt, attempt.connection = attempt, self
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = self.sock.connect_ex(self.target.address)
+        if code == 0:
+            self._established()
+        elif code == errno.EINPROGRESS:
+            if self.pool.connect_timeout:
+                due = self.pool.clock.now() + self.pool.connect_timeout
+                self.timer = self.pool.clock.call_at(due, self._lost)
+            self.pool.loop.add_writer(self.sock, self._guarded, self._connect_done)
+        else:
+            # Told in the loop's next round: the caller still holds the attempt as being started.
+            self.pool.loop.call_soon(self._lost)
+
+    def _connect_done(self) -> None:
+        self.pool.loop.remove_writer(self.sock)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._lost()
+        else:
+            self._established()
+
+    def _established(self) -> None:
+        self.connected = True
+        self.pool.loop.add_reader(self.sock, self._guarded, self._readable)
+        if self.attempt is not None:
+            self.unsent = memoryview(self.attempt.data)
+            self._write()
+
+    def stale(self) -> bool:
+        """Whether the server has closed this idle connection, though the loop has not come to read it.
+
+        Guards against writing a request to a connection that is already closed: it would end as a reset,
+        after which a request that must not run twice can't be sent again.
+        """
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True  # the end, or bytes that nobody asked for
+
+    def use(self, attempt: Attempt) -> None:
+        """Write an attempt to this idle connection."""
+        self._new_reply()
+        self.attempt, attempt.connection = attempt, self
+        self.unsent = memoryview(attempt.data)
+        self._write()
+
+    def _write(self) -> None:
+        """Write what the socket takes; ``unsent`` is empty once the last byte is in its hands."""
+        before = len(self.unsent)
+        try:
+            while self.unsent:
+                self.unsent = self.unsent[self.sock.send(self.unsent) :]
+        except BlockingIOError:
+            self.pool.loop.add_writer(self.sock, self._guarded, self._write)
+            return
+        except OSError:
+            # In the next round, as in open(); what arrived before the break is no answer to half a request.
+            self.pool.loop.call_soon(self._lost)
+            return
+        if before:
+            self.pool.loop.remove_writer(self.sock)
+
+    def _guarded(self, what: Callable[[], None]) -> None:
+        """Guards the loop and the node: a fault in one connection ends that connection alone."""
+        try:
+            what()
+        except Exception:
+            log.exception("a connection to %s:%d failed", *self.target.address)
+            self._lost()
+
+    # ---- reading
+
+    def _readable(self) -> None:
+        try:
+            data = self.sock.recv(CHUNK)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data or self.attempt is None:
+            self._lost()
+            return
+        self.fed += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:  # also an upgrade, which nobody asked for
+            if not self.complete:
+                self._lost()
+                return
+            self.reusable = False
+        if self.size > MAX_BODY or self.fed > MAX_BODY + 2 * MAX_HEAD:
+            self._lost()
+        elif self.complete:
+            self._answered()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header of the answer."""
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Take the status."""
+        self.status = self.parser.get_status_code()
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body, as far as it is one that may be passed on."""
+        if not self.complete:
+            self.size += len(data)
+            if self.size <= MAX_BODY:
+                self.body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Take the end of the answer; a provisional one (1xx) is none."""
+        if self.complete:
+            self.reusable = False  # bytes that nobody asked for
+        elif self.status < 200:
+            self.headers = []
+        else:
+            self.complete = True
+            self.reusable = bool(self.parser.should_keep_alive())
+
+    def on_message_begin(self) -> None:
+        """See bytes that follow a whole answer."""
+        if self.complete:
+            self.reusable = False
+
+    def _answered(self) -> None:
+        attempt, self.attempt = self.attempt, None
+        reply = Reply(outcome(self.status, self.headers), self.headers, b"".join(self.body))
+        if self.reusable and self.keep and not self.unsent:
+            self.pool.rest(self)
+        else:
+            self.close()
+        if attempt is not None:
+            attempt.end(reply)
+
+    # ---- ends
+
+    def _lost(self) -> None:
+        """The connection broke or ended: whether the request may have run hangs on its last byte."""
+        if self.closed:
+            return
+        attempt, self.attempt = self.attempt, None
+        written = self.connected and not self.unsent
+        self.close()
+        if attempt is not None:
+            attempt.end(Reply(Result.RESET if written else Result.CONNECT_FAILED))
+
+    def give_up(self) -> bool:
+        """Close under an attempt, at once; returns whether the attempt's last byte had been written."""
+        written = self.connected and not self.unsent
+        self.attempt = None
+        self.close()
+        return written
+
+    def close(self) -> None:
+        """Close the socket now, not in the loop's next round."""
+        if self.closed:
+            return
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.pool.loop.remove_reader(self.sock)
+        self.pool.loop.remove_writer(self.sock)
+        self.sock.close()
+        self.pool.forget(self)
+
+
+def outcome(status: int, headers: Headers) -> Result:
+    """An answer's outcome, by the protocol's table."""
+    if status == 200:
+        return Result.OK
+    if status in (503, 504) and (b"x-not-processed", b"1") in headers:
+        return Result.FULL
+    return Result.ERROR
+
+
+class Pool:
+    """The connections to all servers, within a bound."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, clock: Clock, connect_timeout: int, idle: int, most: int
+    ) -> None:
+        self.loop, self.clock, self.connect_timeout, self.most = loop, clock, connect_timeout, most
+        self.idle_for = idle - idle // IDLE_PART
+        self.targets: dict[str, Target] = {}
+        self.count = 0
+        self._sweep: asyncio.TimerHandle | None = None
+
+    def listed(self, servers: Iterable[tuple[str, Address, int]]) -> None:
+        """Take the servers that may be sent to; connections to any other, or to an earlier start, go."""
+        listed = {name: (address, started) for name, address, started in servers}
+        for name, target in list(self.targets.items()):
+            if listed.get(name) != (target.address, target.started):
+                self._retire(self.targets.pop(name))
+        for name, (address, started) in listed.items():
+            if name not in self.targets:
+                self.targets[name] = Target(address, started)
+
+    def _retire(self, target: Target) -> None:
+        """Give idle connections back; what is out may end, and what has not begun ends unsent.
+
+        Guards drains: an attempt that still connects would put its first byte on the wire after the drain.
+        """
+        self._close_idle(target)
+        for connection in list(target.busy):
+            connection.keep = False
+            attempt = connection.attempt
+            if not connection.connected and attempt is not None:
+                connection.give_up()
+                attempt.end(Reply(Result.CONNECT_FAILED))
+
+    @staticmethod
+    def _close_idle(target: Target) -> None:
+        for connection in list(target.idle):
+            connection.close()
+
+    def release(self, server: str) -> None:
+        """Give back the idle connections to a server."""
+        if server in self.targets:
+            self._close_idle(self.targets[server])
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt; its end is told later, never from in here."""
+        attempt.timer = self.clock.call_at(attempt.due, lambda: self._timed_out(attempt))
+        target = self.targets.get(attempt.server)
+        if target is None:
+            self.loop.call_soon(attempt.end, Reply(Result.CONNECT_FAILED))
+            return
+        while target.idle:
+            connection = target.idle.pop()
+            target.busy.add(connection)
+            if not connection.stale():
+                connection.use(attempt)
+                return
+            connection.close()
+        if self.count >= self.most and not self._make_room():
+            self.loop.call_soon(attempt.end, Reply(Result.CONNECT_FAILED))
+            return
+        self._open(target, attempt)
+
+    def _open(self, target: Target, attempt: Attempt) -> None:
+        try:
+            connection = Connection(self, target)
+        except OSError as e:  # no descriptor is left: nothing was sent
+            log.error("no socket for a connection: %s", e)
+            self.loop.call_soon(attempt.end, Reply(Result.CONNECT_FAILED))
+            return
+        self.count += 1
+        target.busy.add(connection)
+        connection.open(attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Call an attempt off: its connection is closed before this returns."""
+        if not attempt.ended:
+            if attempt.connection is not None:
+                attempt.connection.give_up()
+            attempt.end(Reply(Result.CANCELLED))
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        """Stop waiting; a request whose last byte was never written has not run."""
+        if not attempt.ended:
+            written = attempt.connection is not None and attempt.connection.give_up()
+            attempt.end(Reply(Result.TIMEOUT if written else Result.CONNECT_FAILED))
+
+    def _make_room(self) -> bool:
+        """Close the connection that has been idle longest, of any server."""
+        oldest = min((t.idle[0] for t in self.targets.values() if t.idle), default=None,
+                     key=lambda c: c.idle_since)  # fmt: skip
+        if oldest is not None:
+            oldest.close()
+        return oldest is not None
+
+    def rest(self, connection: Connection) -> None:
+        """Keep a connection for the next attempt, until shortly before the server would close it."""
+        connection.target.busy.discard(connection)
+        connection.target.idle.append(connection)
+        connection.idle_since = self.clock.now()
+        if self._sweep is None and self.idle_for > 0:
+            self._sweep = self.clock.call_at(connection.idle_since + self.idle_for, self._close_expired)
+
+    def _close_expired(self) -> None:
+        """Close what has been idle for long enough; look again when the next one is due."""
+        self._sweep = None
+        now = self.clock.now()
+        first = now
+        for target in self.targets.values():
+            while target.idle and target.idle[0].idle_since + self.idle_for <= now:
+                target.idle[0].close()
+            if target.idle:
+                first = min(first, target.idle[0].idle_since)
+        if first < now:
+            self._sweep = self.clock.call_at(first + self.idle_for, self._close_expired)
+
+    def forget(self, connection: Connection) -> None:
+        """A connection has been closed."""
+        self.count -= 1
+        target = connection.target
+        target.busy.discard(connection)
+        if connection in target.idle:
+            target.idle.remove(connection)
+
+    def close(self) -> None:
+        """Close all connections, at the node's end."""
+        for target in self.targets.values():
+            for connection in [*target.idle, *target.busy]:
+                connection.give_up()
+        if self._sweep is not None:
+            self._sweep.cancel()
