Test the node over loopback sockets; mend the five faults that the tests found

Cause and lines to blame, each found by a test that failed first: - httptools raises HttpParserUpgrade outside HttpParserError's family, so CONNECT or an upgrade tore the caller's connection down without an answer (server.py data_received; the same in upstream and discovery). - Closing on unread input resets the connection and takes the 4xx along (server.py _write): now half-closed, what still comes is dropped for a second. - Cancel was matched against the count of attempts, which unsent ones raise too (node.py _cancel): such a cancel was passed over and the attempt ran on. The attempt carries its number now. - An attempt not sent for a request that is over was told as unfinished (node.py _send). - Idle callers were closed before one that needs the place had been accepted (server.py _accept).

--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,226 @@
+"""Small fake peers on port 0: a server by script, discovery by hand, a caller that writes bytes."""
+
+import asyncio
+import json
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from topazwall.net.config import Config
+from topazwall.net.node import Node
+
+LIMIT = 30.0  # seconds for anything that must happen; nothing is expected to take a tenth of it
+
+SETTINGS = {
+    "allowed": {
+        "cancelling": True, "conn-idle": 30_000_000, "connect-timeout": 2_000_000, "max-attempts": 4,
+        "max-open": 1000, "max-retry-after": 2_000_000, "retry-after": True, "streams-per-conn": 1,
+    },
+    "classes": [
+        {"name": "look", "aim": 10_000_000, "deadline": 20_000_000, "idempotency": "pure"},
+        {"name": "book", "aim": 10_000_000, "deadline": 20_000_000, "idempotency": "side_effect"},
+        {"name": "brief", "aim": 200_000, "deadline": 400_000, "idempotency": "side_effect"},
+    ],
+    "discovery": "on_request",
+    "instances": 1,
+    "invariants": {
+        "answer-slack": 20_000, "ask-within": 4, "cold-from": 0.2, "fall": 3_000_000, "fall-multiple": 2.5,
+        "stop-sending-within": 250_000, "warm-up": 10_000_000,
+    },
+    "layers": ["only"],
+    "resolution": 1000,
+}  # fmt: skip
+
+
+def run(coroutine):
+    """Run a test's coroutine; it may not hang."""
+
+    async def limited():
+        return await asyncio.wait_for(coroutine, 2 * LIMIT)
+
+    return asyncio.run(limited())
+
+
+async def soon(awaitable):
+    """What must happen, within the limit."""
+    return await asyncio.wait_for(awaitable, LIMIT)
+
+
+@dataclass
+class Seen:
+    """One request as a peer got it."""
+
+    method: str
+    url: str
+    headers: dict[str, str]
+    body: bytes
+    connection: int
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """First line, headers and body."""
+    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")[:-2]
+    headers = {k.lower(): v.strip() for k, v in (line.split(":", 1) for line in lines)}
+    return first, headers, await reader.readexactly(int(headers.get("content-length", "0")))
+
+
+def reply(status: int = 200, body: bytes = b"", *headers: str) -> bytes:
+    """An answer's bytes."""
+    lines = [f"HTTP/1.1 {status} Whatever", f"Content-Length: {len(body)}", *headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Peer:
+    """Answers with what ``script`` says: bytes, None for silence, "close", or several of these."""
+
+    def __init__(self, script: Callable[[Seen], bytes | str | None]) -> None:
+        self.script = script
+        self.seen: asyncio.Queue[Seen] = asyncio.Queue()
+        self.left: asyncio.Queue[int] = asyncio.Queue()  # connections that the other side closed
+        self.release = asyncio.Event()
+        self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> "Peer":
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def serve(self, reader, writer) -> None:
+        self.connections += 1
+        number = self.connections
+        self.writers.append(writer)
+        try:
+            while True:
+                first, headers, body = await read_message(reader)
+                method, url, _ = first.split(" ")
+                seen = Seen(method, url, headers, body, number)
+                self.seen.put_nowait(seen)
+                said = self.script(seen)
+                if asyncio.iscoroutine(said):
+                    said = await said
+                for part in said if isinstance(said, tuple) else (said,):
+                    if part == "close":
+                        return writer.close()
+                    if part is not None:
+                        writer.write(part)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.left.put_nowait(number)
+            writer.close()
+
+
+def endpoint(name: str, port: int, status: str = "ready", since_ms: int = 0) -> dict:
+    """One entry of discovery's list."""
+    return {
+        "name": name, "address": f"127.0.0.1:{port}", "zone": "", "type": "t", "group": 0, "status": status,
+        "weight": 1.0, "since_ms": since_ms,
+    }  # fmt: skip
+
+
+def listing(index: int, *endpoints: dict, whole: bool = True) -> dict:
+    """Discovery's answer."""
+    return {"index": index, "snapshot": whole, "endpoints": list(endpoints)}
+
+
+class Registry(Peer):
+    """Discovery: each call is answered with the next of the answers put in; bytes go out as they are."""
+
+    def __init__(self) -> None:
+        super().__init__(self.next)
+        self.answers: asyncio.Queue = asyncio.Queue()
+
+    def put(self, answer: object) -> None:
+        self.answers.put_nowait(
+            reply(200, json.dumps(answer).encode()) if isinstance(answer, dict) else answer
+        )
+
+    async def next(self, _: Seen) -> bytes:
+        return await self.answers.get()
+
+
+def config(discovery: int, *endpoints: dict, settings: dict | None = None, sockets: int = 256) -> Config:
+    """A node's configuration with a known list."""
+    from topazwall.drill import read_settings
+
+    return Config(
+        name="n0", listen=("127.0.0.1", 0), discovery=("127.0.0.1", discovery), seed=7, sockets=sockets,
+        known=listing(1, *endpoints), settings=read_settings(settings or SETTINGS),
+    )  # fmt: skip
+
+
+class Caller:
+    """One connection to a node."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    @classmethod
+    async def connect(cls, port: int) -> "Caller":
+        return cls(*await asyncio.open_connection("127.0.0.1", port))
+
+    def send(
+        self, klass: str = "look", method: str = "GET", url: str = "/api", body: bytes = b"", **extra
+    ) -> None:
+        headers = {"Host": "app.svc", "X-Request-ID": "9b1f03aa", "X-Priority-Class": klass} | {
+            k.replace("_", "-"): v for k, v in extra.items()
+        }
+        if body:
+            headers["Content-Length"] = str(len(body))
+        lines = [f"{method} {url} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+    async def answer(self) -> tuple[int, dict[str, str], bytes]:
+        first, headers, body = await soon(read_message(self.reader))
+        return int(first.split(" ")[1]), headers, body
+
+    async def ended(self) -> bytes:
+        """What comes until the node closes."""
+        return await soon(self.reader.read())
+
+    def close(self) -> None:
+        self.writer.transport.abort()
+
+
+class Running:
+    """A node in this process, with servers by script."""
+
+    def __init__(self, *peers: Peer, **options) -> None:
+        self.peers, self.options = peers, options
+
+    async def __aenter__(self) -> "Running":
+        self.registry = await Registry().__aenter__()
+        listed = [endpoint(f"s-{i}", p.port) for i, p in enumerate(self.peers)]
+        self.node = Node(config(self.registry.port, *listed, **self.options), asyncio.get_running_loop())
+        self.node.start()
+        self.port = self.node.server.address[1]
+        self.callers: list[Caller] = []
+        return self
+
+    async def caller(self) -> Caller:
+        self.callers.append(await Caller.connect(self.port))
+        return self.callers[-1]
+
+    async def __aexit__(self, *_) -> None:
+        self.node.close()
+        for caller in self.callers:
+            caller.close()
+        await self.registry.__aexit__()
+
+
+def silent_listener() -> tuple[socket.socket, list[socket.socket]]:
+    """A port at which connections never come up: its queue is full and nobody accepts."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    fillers = []
+    for _ in range(4):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(listener.getsockname())
+        fillers.append(filler)
+    return listener, fillers
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,157 @@
+"""The program as it is started: its configuration, its clock, and its end on SIGTERM."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from peers import LIMIT, SETTINGS, Caller, Peer, endpoint, listing, reply, run, soon
+
+from topazwall.net.clock import Clock
+from topazwall.net.config import ConfigError, load
+
+ROOT = Path(__file__).parent.parent
+COMMAND = [sys.executable, "-m", "topazwall"]
+
+
+def raw_config(**changes) -> dict:
+    raw = {
+        "name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": listing(1),
+        "settings": SETTINGS,
+    }  # fmt: skip
+    return {k: v for k, v in (raw | changes).items() if v is not None}
+
+
+def written(path: Path, raw: object) -> dict[str, str]:
+    path.write_text(raw if isinstance(raw, str) else json.dumps(raw))
+    return {"NODE_CONFIG": str(path)}
+
+
+def test_configuration_is_read_and_variables_go_first(tmp_path):
+    given = written(tmp_path / "c.json", raw_config()) | {"NODE_LISTEN": "127.0.0.2:80", "NODE_NAME": "n9"}
+    got = load(given)
+    assert (got.name, got.listen, got.discovery) == ("n9", ("127.0.0.2", 80), ("127.0.0.1", 9))
+    assert (got.seed, got.settings.max_attempts) == (0x8C1F30D27A5BE964, 4)
+    assert got.sockets <= 1024
+
+
+@pytest.mark.parametrize(
+    ("raw", "word"),
+    [
+        ("{", "NODE_CONFIG"),
+        ("[]", "expected an object"),
+        (raw_config(listen=None), "NODE_LISTEN"),
+        (raw_config(discovery="somewhere"), "NODE_DISCOVERY"),
+        (raw_config(seed="xyz"), "seed"),
+        (raw_config(limits={"sockets": "many"}), "limits.sockets"),
+        (raw_config(settings=None), "settings"),
+        (raw_config(settings=SETTINGS | {"classes": []}), "classes"),
+        (raw_config(known=[]), "known"),
+    ],
+)
+def test_bad_configuration_is_named(tmp_path, raw, word):
+    with pytest.raises(ConfigError, match=word):
+        load(written(tmp_path / "c.json", raw))
+
+
+@pytest.mark.parametrize(
+    "raw", [None, "{", raw_config(known={"index": 1}), raw_config(listen="203.0.113.1:80")]
+)
+def test_program_that_can_not_start_says_so_in_one_line(tmp_path, raw):
+    given = {} if raw is None else written(tmp_path / "c.json", raw)
+    environment = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")} | given
+    done = subprocess.run(COMMAND, cwd=ROOT, env=environment, capture_output=True, text=True, timeout=LIMIT)
+    assert done.returncode != 0
+    assert len(done.stderr.splitlines()) == 1
+    assert done.stderr.startswith("topazwall: ")
+
+
+def test_timer_never_fires_early():
+    async def scenario():
+        clock = Clock(asyncio.get_running_loop())
+        early: asyncio.Queue[bool] = asyncio.Queue()
+        for i in range(200):
+            due = clock.now() + 137 * i
+
+            def fired(due=due):
+                early.put_nowait(clock.now() < due)
+
+            clock.call_at(due, fired)
+        assert not any([await soon(early.get()) for _ in range(200)])
+
+    run(scenario())
+
+
+def test_timer_that_the_loop_fires_early_is_set_again():
+    class Loop:
+        calls: list = []
+
+        def call_later(self, delay, *what):
+            self.calls.append((delay, what))
+
+    loop, fired = Loop(), []
+    clock = Clock(loop)
+    due = clock.now() + 50_000_000
+    clock.call_at(due, lambda: fired.append(1))
+    what, *arguments = loop.calls[0][1]
+    what(*arguments)
+    assert not fired
+    assert len(loop.calls) == 2
+    clock._offset += 50_000_000
+    what(*arguments)
+    assert fired == [1]
+
+
+def test_sigterm_answers_what_was_taken_keeps_accepting_and_exits_cleanly(tmp_path):
+    async def scenario():
+        async def held():
+            await peer.release.wait()
+            return reply(200, b"held")
+
+        async with Peer(lambda seen: held() if seen.url == "/held" else reply(200, b"new")) as peer:
+            raw = raw_config(listen=f"127.0.0.1:{free_port()}", known=listing(1, endpoint("s-0", peer.port)))
+            given = os.environ | written(tmp_path / "c.json", raw)
+            process = await asyncio.create_subprocess_exec(
+                *COMMAND, cwd=ROOT, env=given, stderr=asyncio.subprocess.PIPE
+            )
+            try:
+                await said(process, b"listens")
+                port = int(raw["listen"].split(":")[1])
+                caller, idle = await Caller.connect(port), await Caller.connect(port)
+                caller.send(url="/held")
+                await soon(peer.seen.get())
+                process.send_signal(signal.SIGTERM)
+                await said(process, b"ends")
+                late = await Caller.connect(port)
+                late.send(url="/new")
+                status, headers, body = await late.answer()
+                assert (status, headers.get("connection"), body) == (200, "close", b"new")
+                assert await idle.ended() == b""  # between requests, once the changeover is over
+                peer.release.set()
+                assert (await caller.answer())[2] == b"held"
+                assert await soon(process.wait()) == 0
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+
+    run(scenario())
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+async def said(process, word: bytes) -> None:
+    """Wait for a line of the node's log."""
+    while word not in (line := await soon(process.stderr.readline())):
+        assert line, "the node has ended"
--- a/topazwall/net/discovery.py
+++ b/topazwall/net/discovery.py
@@ -204,7 +204,7 @@
                 raise BadList("the connection ended before the answer did")
             try:
                 answer.parser.feed_data(data)
-            except httptools.HttpParserError as e:
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
                 if not answer.complete:
                     raise BadList(f"no HTTP: {e}") from None
             if len(answer.body) > MAX_LIST:
--- a/topazwall/net/node.py
+++ b/topazwall/net/node.py
@@ -244,15 +244,7 @@
         if request is None or request.attempt is not None:
             # Guards two rules: nothing is sent for what is over, and no two attempts are out at once.
             log.error("not sent: request %d is over or has an attempt out", action.request)
-            number = 0 if request is None else request.attempts
-            if request is not None:
-                request.attempts += 1
-            self.post(
-                api.AttemptEnded(
-                    action.request, number, action.server, api.Result.NOT_SENT, 0, request is None
-                )
-            )
-            return
+            return self._not_sent(request, action)
         number, now = request.attempts, self.clock.now()
         request.attempts = number + 1
         attempt = Attempt(
@@ -260,10 +252,19 @@
             head(request, action.timeout),
             now + action.timeout,
             lambda reply: self._ended(request, number, action.server, now, reply),
+            number,
         )
         request.attempt = attempt
         self.pool.send(attempt)
 
+    def _not_sent(self, request: Request | None, action: api.Send) -> None:
+        """Every attempt has its one outcome, also one that was never made."""
+        number, over = 0, True
+        if request is not None:
+            number, over = request.attempts, request.answered
+            request.attempts += 1
+        self.post(api.AttemptEnded(action.request, number, action.server, api.Result.NOT_SENT, 0, over))
+
     def _ended(self, request: Request, number: int, server: str, sent: int, reply: Reply) -> None:
         """An attempt has ended: what a server answered goes to the caller first, then the module hears."""
         request.attempt = None
@@ -307,5 +308,6 @@
 
     def _cancel(self, action: api.Cancel) -> None:
         request = self.requests.get(action.request)
-        if request is not None and request.attempt is not None and action.attempt == request.attempts - 1:
-            self.pool.cancel(request.attempt)
+        attempt = None if request is None else request.attempt
+        if attempt is not None and attempt.number == action.attempt:
+            self.pool.cancel(attempt)
--- a/topazwall/net/server.py
+++ b/topazwall/net/server.py
@@ -22,6 +22,7 @@
 BACKLOG = 1024
 TURNED_AWAY = 32  # connections past the limit that are still told so, before accepting stops
 PIPELINED = 16  # requests that may wait on one connection before reading stops
+LINGER_S = 1.0  # how long a caller that sent what can't be read may go on before it is cut off
 CHANGEOVER = 500_000  # new connections go on coming for 0.2 to 0.4 s after SIGTERM
 LAST_ANSWER = 600_000  # after the longest deadline; SIGKILL comes 0.7 s after it at the soonest
 
@@ -137,7 +138,7 @@
         taken, self.fed = len(self.pending), self.fed + len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError:  # also an upgrade, which is not served
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):  # upgrades are not served
             self.broken = self.broken or 400
         if len(self.pending) > taken:
             self.fed = 0
@@ -219,10 +220,16 @@
             return
         self.transport.write(render(status, headers, body, close))
         if close:
-            self.broken = self.broken or status
-            self.transport.close()
-            self.transport = None
+            transport, self.transport = self.transport, None
             self.pending.clear()
+            if self.broken:
+                # Closing on bytes that were not read resets the connection, and takes the answer along:
+                # what the caller still writes is read and dropped for a while.
+                transport.write_eof()
+                self.server.loop.call_later(LINGER_S, transport.close)
+            else:
+                self.broken = status
+                transport.close()
 
     def resting(self) -> bool:
         """Whether nothing is owed and nothing has begun on this connection."""
@@ -272,8 +279,6 @@
     def _accept(self) -> None:
         """Take what waits.  Past the bound idle callers go, a few are told, and the rest wait outside."""
         while True:
-            if len(self._callers) >= self.most:
-                self._close_one_idle()
             if len(self._callers) >= self.most + TURNED_AWAY:
                 log.warning("%d callers: accepting stops", len(self._callers))
                 return self._stop()
@@ -286,6 +291,8 @@
                 return self._stop() if self._callers else None
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if len(self._callers) >= self.most:
+                self._close_one_idle()
             caller = Caller(self, len(self._callers) >= self.most)
             self._callers.add(caller)
             task = self.loop.create_task(self._attach(caller, sock))
@@ -303,6 +310,7 @@
     def _close_one_idle(self) -> None:
         for caller in self._idle:
             if caller.resting():
+                self._callers.discard(caller)  # its place is free at once, its descriptor is from the reserve
                 return caller.close()
 
     def rests(self, caller: Caller) -> None:
--- a/topazwall/net/upstream.py
+++ b/topazwall/net/upstream.py
@@ -42,10 +42,12 @@
 class Attempt:
     """One attempt: the bytes to write, how long to wait, and whom to tell of its end, once."""
 
-    __slots__ = ("server", "data", "due", "on_end", "connection", "timer", "ended")
+    __slots__ = ("server", "data", "due", "on_end", "number", "connection", "timer", "ended")
 
-    def __init__(self, server: str, data: bytes, due: int, on_end: Callable[[Reply], None]) -> None:
-        self.server, self.data, self.due, self.on_end = server, data, due, on_end
+    def __init__(
+        self, server: str, data: bytes, due: int, on_end: Callable[[Reply], None], number: int = 0
+    ) -> None:
+        self.server, self.data, self.due, self.on_end, self.number = server, data, due, on_end, number
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
@@ -188,7 +190,7 @@
         self.fed += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError:  # also an upgrade, which nobody asked for
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):  # nobody asked for an upgrade
             if not self.complete:
                 self._lost()
                 return
@@ -217,7 +219,7 @@
         """Take the end of the answer; a provisional one (1xx) is none."""
         if self.complete:
             self.reusable = False  # bytes that nobody asked for
-        elif self.status < 200:
+        elif self.status < 200 and self.status != 101:
             self.headers = []
         else:
             self.complete = True
