Take a server that answers others for no hanging one: a stuck call behind it stopped the whole tier

Ruled out: the limit itself (33 to 46, far above what was out), the sockets and CPU (no reset or connect failure, 0.24 of a core). To blame: choice.py Balancer.hangs looked at the oldest call alone. In a chain that call may be stuck two tiers on, so that one hanging server there made every server here count as hanging. Change: the silence counts from the server's last answer, if that is later than the call.

--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -614,3 +614,19 @@
     d.run_to(d.now + 9 * SECOND)
     assert not d.of(api.Cancel) + d.of(api.Refuse) + d.of(api.Fail)
     assert not d.b.calls
+
+
+def test_servers_that_answer_do_not_hang():
+    """Guards against a tier that stands still because each server has one call stuck in the tier behind."""
+    d = Driver(servers=2)
+    stuck = {d.ask()[-1].server, d.ask()[-1].server}
+    assert stuck == {"s0", "s1"}
+    for step in range(1, 26):
+        d.run_to(step * SECOND // 10)
+        sends = [a for a in d.ask() if isinstance(a, api.Send)]
+        assert len(sends) == 1  # it did not have to wait
+        d.end(sends[0], Result.OK)
+    server = d.b.servers[sends[0].server]
+    assert not d.b.hangs(server, d.now)
+    server.answered = next(iter(server.out.values())).sent  # but one that has answered nothing since does
+    assert d.b.hangs(server, d.now)
--- a/topazwall/choice.py
+++ b/topazwall/choice.py
@@ -33,7 +33,7 @@
 BAD_RATE, OK_RATE = 0.7, 0.01
 SCORE_LOW, SCORE_EJECT, SCORE_HIGH = -2.0, 2.5, 5.0
 EJECT_FOR, EJECT_MOST, EJECT_SHARE = SECOND, 16 * SECOND, 0.34  # never more than that share of the tier
-HANG_MEANS = 4.0  # a call out for so many mean latencies, while newer ones were answered, is a hang
+HANG_MEANS = 4.0  # a call out for so many mean latencies, while newer ones elsewhere were answered, is a hang
 # Subset: members for each server's share of copies, and own calls per member that widen or narrow it.
 COVER, WIDEN_AT, NARROW_AT = 5, 1.0, 0.25
 REPORT_TRUST, CROSSING = 0.5, 2.0  # of a reported waiting request against an own call; of a server elsewhere
@@ -486,12 +486,12 @@
         return s.tokens < 1
 
     def hangs(self, s: Server, now: int) -> bool:
-        """Whether its oldest call is out for far longer than newer calls elsewhere took."""
+        """Whether a call is out far too long; where others are answered, it is stuck in the tier behind."""
         oldest = next(iter(s.out.values()), None)
         return (
             oldest is not None
             and self.answers - oldest.answers >= 8
-            and now - oldest.sent > HANG_MEANS * self.mean_latency()
+            and now - max(oldest.sent, s.answered) > HANG_MEANS * self.mean_latency()
         )
 
     def mean_latency(self) -> float:
