Mend the end of a node, a time of zero, and a watch that could end untold

Each has a test that fails without it. - server.py leave: the last moment was the longest deadline plus 0.6 s, but SIGKILL may come 3.7 s after SIGTERM where deadlines are 6 s. Now bounded by those 3 s, and what is still out then is failed, not lost. - server.py _end_changeover: a caller let in last was not among the idle ones yet and held the exit up. - server.py handle: 'X-Timeout: 0m' was taken for no time told and got the class's whole deadline. - discovery.py _watching: an unforeseen exception ended the watch without a word to the module.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,5 +1,6 @@
 """A whole node over loopback sockets: what callers get, what servers see, and what discovery changes."""
 
+import asyncio
 import json
 
 import pytest
@@ -378,6 +379,59 @@
     run(scenario())
 
 
+def test_request_whose_time_is_up_already_is_not_sent():
+    """Guards against taking no time left for no time told."""
+
+    async def scenario():
+        async with Peer(lambda _: reply(200)) as peer, Running(peer) as node:
+            caller = await node.caller()
+            caller.send(X_Timeout="0m")
+            assert (await caller.answer())[0] in (502, 503)
+            assert peer.seen.empty()
+
+    run(scenario())
+
+
+def test_discovery_that_fails_in_an_unforeseen_way_is_a_lost_watch():
+    """Guards against a watch that ends untold, which would hide every drain from then on."""
+
+    async def scenario():
+        async with Running() as node:
+            await soon(node.registry.seen.get())
+            listed, calls = node.node.discovery._listed, []
+
+            def fails_once(listing):
+                calls.append(listing)
+                if len(calls) == 1:
+                    raise RuntimeError("unforeseen")
+                listed(listing)
+
+            node.node.discovery._listed = fails_once
+            node.registry.put(listing(2))
+            assert "since=2&" in (await soon(node.registry.seen.get())).url
+
+    run(scenario())
+
+
+def test_end_fails_what_is_still_out_and_closes_late_silent_callers(monkeypatch):
+    """Guards against SIGKILL finding a request unanswered, and against waiting for silent callers."""
+    monkeypatch.setattr("topazwall.net.server.LONGEST", 500_000)
+    monkeypatch.setattr("topazwall.net.server.CHANGEOVER", 100_000)
+
+    async def scenario():
+        async with Peer(lambda _: None) as peer, Running(peer) as node:
+            caller = await node.caller()
+            caller.send()
+            await soon(peer.seen.get())
+            leaving = asyncio.ensure_future(node.node.leave())
+            silent = await node.caller()
+            assert await silent.ended() == b""
+            assert (await caller.answer())[0] == 500
+            await soon(leaving)
+
+    run(scenario())
+
+
 def test_load_report_is_read():
     text = "TEXT inflight=7, queue=2, util=0.61, other=1, eps=nan, qps=x"
     assert parse_report(text) == {"in_flight": 7, "queued": 2, "utilisation": 0.61}
--- a/topazwall/__main__.py
+++ b/topazwall/__main__.py
@@ -16,7 +16,8 @@
     """Serve until SIGTERM, then end in order."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
     node = Node(config, loop)
     node.start()
     logging.info("%s listens on %s:%d", config.name, *config.listen)
--- a/topazwall/net/discovery.py
+++ b/topazwall/net/discovery.py
@@ -144,8 +144,8 @@
     async def _fetching(self) -> None:
         try:
             self._take(await self._ask("/api/targets", ANSWER_S), first=True)
-        except (TimeoutError, BadList, OSError) as e:
-            log.warning("the list could not be had: %s", e or type(e).__name__)
+        except Exception as e:
+            self._failed(e)
             self._lost()
 
     async def _watching(self) -> None:
@@ -159,14 +159,19 @@
             try:
                 self._take(await self._ask(path, wait), first)
                 first = False
-            except (TimeoutError, BadList, OSError) as e:
-                log.warning("the watch is lost: %s", e or type(e).__name__)
+            except Exception as e:  # whatever it was: a watch that ends untold would hide every drain
+                self._failed(e)
                 if not self._pushed:
                     self._watch = None
                     self._lost()
                     return
                 await asyncio.sleep(AGENT_AGAIN_S)
 
+    @staticmethod
+    def _failed(e: Exception) -> None:
+        expected = isinstance(e, BadList | OSError)  # a time-out is one of the latter
+        log.warning("discovery is lost: %s", str(e) or type(e).__name__, exc_info=None if expected else e)
+
     def _take(self, listing: Listing, first: bool) -> None:
         """Hand a listing on; a watch's first answer also where nothing has changed: it answers the call."""
         self.index = listing.index
--- a/topazwall/net/node.py
+++ b/topazwall/net/node.py
@@ -95,6 +95,8 @@
     async def leave(self) -> None:
         """End as a planned restart asks for: answer what was taken, take nothing after the changeover."""
         await self.server.leave(max(c.deadline for c in self.settings.classes))
+        for request in list(self.requests.values()):  # nobody is left to wait for: better failed than lost
+            self._abandon(request.id)
         self.close()
 
     def close(self) -> None:
@@ -148,7 +150,8 @@
         """A request was taken: it is the module's until its one answer."""
         klass = request.text(b"x-priority-class")
         now = self.clock.now()
-        due = request.taken + (request.time_left or self.classes[klass].deadline)
+        deadline = self.classes[klass].deadline
+        due = request.taken + (deadline if request.time_left is None else request.time_left)
         if self.settings.max_open and len(self.requests) >= self.settings.max_open:
             return request.caller.answer(request, 503, [], b"")  # as on the simulator: the module sees none
         self.count += 1
--- a/topazwall/net/server.py
+++ b/topazwall/net/server.py
@@ -24,7 +24,10 @@
 PIPELINED = 16  # requests that may wait on one connection before reading stops
 LINGER_S = 1.0  # how long a caller that sent what can't be read may go on before it is cut off
 CHANGEOVER = 500_000  # new connections go on coming for 0.2 to 0.4 s after SIGTERM
-LAST_ANSWER = 600_000  # after the longest deadline; SIGKILL comes 0.7 s after it at the soonest
+SWEEP = 100_000  # after the changeover, for callers that it let in last
+# SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
+LONGEST = 3_000_000
+LAST_ANSWER = 600_000
 
 # Between two hops only; what is said about this hop's framing is said anew on the next.
 HOP = frozenset({
@@ -49,7 +52,8 @@
     def __init__(self, caller: Caller, method: bytes, url: bytes, headers: Headers, body: bytes) -> None:
         self.caller, self.method, self.url, self.headers, self.body = caller, method, url, headers, body
         self.named = dict(headers)
-        self.id = self.taken = self.time_left = 0
+        self.id = self.taken = 0
+        self.time_left: int | None = None  # the caller may not tell
         self.keep_alive = True
         self.answered = False  # nothing more is owed
         self.attempts = 0  # how many were made
@@ -337,10 +341,10 @@
             ready = self.taker.serving() and not self.leaving
             return caller.answer(request, 200 if ready else 503, [], b"ready\n" if ready else b"not ready\n")
         timeout = request.named.get(b"x-timeout")
-        left = 0 if timeout is None else parse_timeout(timeout)
+        left = None if timeout is None else parse_timeout(timeout)
         if request.method in (b"HEAD", b"CONNECT"):
             return caller.answer(request, 405, [], b"")
-        if not request.named.get(b"x-request-id") or left is None:
+        if not request.named.get(b"x-request-id") or (left is None and timeout is not None):
             return caller.answer(request, 400, [], b"X-Request-ID or X-Timeout is missing or malformed\n")
         if not self.taker.knows(request.text(b"x-priority-class")):
             return caller.answer(request, 400, [], b"unknown X-Priority-Class\n")
@@ -361,18 +365,20 @@
         self._ended = self.loop.create_future()
         timers = [
             self.clock.call_at(self.clock.now() + CHANGEOVER, self._end_changeover),
-            self.clock.call_at(self.clock.now() + longest + LAST_ANSWER, self._give_up),
+            self.clock.call_at(self.clock.now() + min(longest, LONGEST) + LAST_ANSWER, self._give_up),
         ]
         await self._ended
         for timer in timers:
             timer.cancel()
-        self.close()
 
     def _end_changeover(self) -> None:
-        """Take the last that wait outside, then close the door and what is between requests."""
+        """Take the last that wait outside, then close the door, and soon after what is between requests."""
         self._accept()
         self._stop()
         self._sock.close()
+        self.clock.call_at(self.clock.now() + SWEEP, self._sweep)
+
+    def _sweep(self) -> None:
         for caller in list(self._idle):
             if caller.resting():
                 caller.close()
