--- /dev/null
+++ b/tests/test_drill.py
@@ -0,0 +1,310 @@
+"""The adapter: what it reads, what it writes, and how it fails."""
+
+import io
+import json
+
+import pytest
+
+from topazwall import choice, drill
+from topazwall import interface as api
+
+SETTINGS = {
+    "allowed": {"cancelling": True, "max-attempts": 5, "second-copies": True, "retry-after": True},
+    "classes": [
+        {
+            "name": "read",
+            "aim": 1000000,
+            "deadline": 4000000,
+            "idempotency": "pure",
+            "importance": 2,
+            "new-key": 1,
+        }
+    ],
+    "discovery": "pushed",
+    "instances": 3,
+    "invariants": {"cold-from": 0.3, "fall": 2000000, "fall-multiple": 4.0, "warm-up": 6700000},
+    "layers": ["front", "back"],
+    "stage": 1,
+    "unheard-of": {"x": 1},
+}
+SYNC, END = {"msg": "sync", "ts": 5}, {"msg": "eof-batch"}
+SPAWN = {"msg": "spawn", "node-id": 1, "random-seed": 3, "settings": SETTINGS}
+PAGE = {"msg": "page", "roster-id": 2, "entries": [{"server": "server.a", "availability": "on"}]}
+UPDATE = {"msg": "update", "node-id": 1, "mode": "warm_copy", "roster-id": 2, "index": 1}
+KNOCK = {"msg": "knock", "node-id": 1, "op-id": 9, "category": "read", "patience-left": 4000000}
+
+DONE = {"msg": "done", "node-id": 1, "op-id": 9, "server": "server.a", "disposition": 10, "latency": 7}
+
+
+def run(*messages):
+    lines = [m if isinstance(m, str) else json.dumps(m) for m in messages]
+    out, err = io.StringIO(), io.StringIO()
+    code = drill.main(io.StringIO("".join(line + "\n" for line in lines)), out, err)
+    return code, [json.loads(line) for line in out.getvalue().splitlines()], err.getvalue()
+
+
+def test_a_request_is_sent_and_its_end_read():
+    done = {
+        "msg": "done",
+        "node-id": 1,
+        "op-id": 9,
+        "send-no": 0,
+        "server": "server.a",
+        "disposition": 20,
+        "latency": 7,
+    }
+    code, got, err = run(SYNC, SPAWN, PAGE, UPDATE, KNOCK, END, {"msg": "sync", "ts": 90}, done, END)
+    assert (code, err) == (0, "")
+    assert {"msg": "yield"} in got
+    sends = [m for m in got if m["msg"] == "transmit"]
+    assert sends[0]["server"] == "server.a" and sends[0]["node-id"] == 1 and sends[0]["op-id"] == 9
+    assert [m for m in got if m["msg"] == "after"]
+
+
+def test_end_of_input_and_an_empty_batch():
+    assert run() == (0, [], "")
+    assert run(SYNC, END) == (0, [{"msg": "yield"}], "")
+
+
+@pytest.mark.parametrize(
+    ("message", "fault"),
+    [
+        ("{nonsense", "not JSON"),
+        ("[1]", "not an object"),
+        ({"msg": "riddle", "node-id": 1}, "unknown message 'riddle'"),
+        ({**KNOCK, "node-id": 8}, "instance 8 was never started"),
+        ({**UPDATE, "roster-id": 7}, "list 7 was never given"),
+        ({**UPDATE, "mode": "odd"}, "update: mode: expected incr, total, warm_copy or lost, got 'odd'"),
+        ({**UPDATE, "roster-id": None}, "update: roster-id: list None was never given"),
+        ({"msg": "knock", "node-id": 1, "op-id": 9}, "knock: category: missing, expected a string"),
+        ({**KNOCK, "op-id": "9"}, "knock: op-id: expected a whole number, got '9'"),
+        ({**KNOCK, "op-id": True}, "knock: op-id: expected a whole number, got True"),
+        ({**KNOCK, "billing": [1]}, "knock: billing: expected a string, got [1]"),
+        ({**KNOCK, "again-by-client": 1}, "knock: again-by-client: expected true or false, got 1"),
+        ({"msg": "sync"}, "sync: ts: missing, expected a whole number"),
+        ({"msg": "sync", "ts": 1.5}, "sync: ts: expected a whole number, got 1.5"),
+        ({"msg": "reminder", "node-id": 1}, "reminder: label: missing, expected a whole number"),
+        ({"msg": "killed", "node-id": 9}, "killed: node-id: instance 9 was never started"),
+        ({"msg": "from-peer", "node-id": 1, "by": 2}, "from-peer: data: missing, expected a string"),
+        ({"msg": "spawn", "node-id": 1, "random-seed": 1}, "spawn: settings: missing, expected an object"),
+        ({"msg": "sampled", "node-id": 1, "server": "a"}, "sampled: disposition: missing"),
+        ({**DONE, "stats": 4}, "done: stats: expected a list, got 4"),
+        ({**PAGE, "entries": [3]}, "page: entries[0]: expected an object, got 3"),
+        ({**PAGE, "entries": [{"server": 3}]}, "page: entries[0]: server: expected a string, got 3"),
+        ({**PAGE, "entries": [{"server": "a", "availability": "half"}]}, "page: entries[0]: availability:"),
+        ("[" * 100_000, "not JSON"),
+        (
+            {"msg": "done", "node-id": 1, "op-id": 1, "server": "a", "disposition": 5},
+            "disposition: expected an",
+        ),
+        ({"msg": "page", "roster-id": 1, "entries": 4}, "page: entries: expected a list, got 4"),
+    ],
+)
+def test_bad_input_ends_with_one_line_that_names_it(message, fault):
+    code, got, err = run(SYNC, SPAWN, PAGE, UPDATE, message, END)
+    assert code == 1
+    assert err.startswith("line 5: ") and fault in err and err.count("\n") == 1
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "said"),
+    [
+        ("classes", None, "settings.classes: missing"),
+        ("instances", "3", "settings.instances: expected a whole number, got '3'"),
+        ("instances", 0, "instances: expected a count of 1 or more, got 0"),
+        ("discovery", "guess", "settings.discovery: expected one of pushed, on_request, got 'guess'"),
+        ("stage", 2, "tier: expected a number from 0 below 2, got 2"),
+    ],
+)
+def test_bad_settings_are_one_message(path, value, said):
+    settings = {k: v for k, v in SETTINGS.items() if k != path} | ({path: value} if value is not None else {})
+    code, got, err = run(SYNC, {**SPAWN, "settings": settings}, END)
+    assert code == 0 and err == ""
+    assert got[0]["msg"] == "fault" and got[0]["text"].startswith(said)
+
+
+def test_bad_class_is_named():
+    settings = {**SETTINGS, "classes": [{**SETTINGS["classes"][0], "aim": -1}]}
+    _, got, _ = run(SYNC, {**SPAWN, "settings": settings}, END)
+    assert got[0]["text"] == "settings.classes[0]: class.aim: expected a time above 0, got -1"
+
+
+def test_an_exception_in_the_module_is_a_fault_of_that_instance_alone(monkeypatch):
+    def fail(self, now, event):
+        raise RuntimeError("lost its way")
+
+    monkeypatch.setattr(choice.Balancer, "on_request", fail)
+    other = {**SPAWN, "node-id": 2}
+    code, got, _ = run(SYNC, SPAWN, other, PAGE, UPDATE, KNOCK, {**UPDATE, "node-id": 2}, END)
+    assert code == 0
+    assert [m for m in got if m["msg"] == "fault"] == [
+        {"msg": "fault", "node-id": 1, "text": "RuntimeError: lost its way"}
+    ]
+
+
+def test_a_killed_instance_forgets_and_a_new_life_starts_clean():
+    killed = {"msg": "killed", "node-id": 1}
+    code, got, _ = run(SYNC, SPAWN, PAGE, UPDATE, killed, SPAWN, KNOCK, END)
+    assert code == 0
+    assert not [m for m in got if m["msg"] == "transmit"]  # the new life was given no list yet
+
+
+WIRE = [  # a setting, a value for it, and where the module finds it
+    ("instances", 7, lambda s: s.instances),
+    ("classes[].aim-stretch", 1.5, lambda s: s.classes[0].aim_stretch),
+    ("classes[].late-worth", 0.5, lambda s: s.classes[0].late_worth),
+    ("classes[].group", "cell", lambda s: s.classes[0].group),
+    ("classes[].repeat-window", 9, lambda s: s.classes[0].repeat_window),
+    ("classes[].importance", 9.5, lambda s: s.classes[0].worth),
+    ("classes[].streamed", True, lambda s: s.classes[0].streamed),
+    ("client-habits.marks-retry", True, lambda s: s.marks_repeats),
+    ("discovery", "on_request", lambda s: s.must_ask and "on_request"),
+    ("extra.passes-deadline", True, lambda s: s.passes_deadline),
+    ("extra.warm-keys", True, lambda s: s.keys_stay_warm),
+    ("goal.availability", 0.4, lambda s: s.goal.nines),
+    ("goal.top-nines", 2, lambda s: s.goal.nines_full),
+    ("goal.whole", 0.3, lambda s: s.goal.whole),
+    ("goal.worst-class", 0.3, lambda s: s.goal.worst_class),
+    ("goal.worst-tenant", 0.3, lambda s: s.goal.worst_tenant),
+    ("goal.worst-window", 0.3, lambda s: s.goal.worst_window),
+    ("allowed.cancelling", False, lambda s: s.cancel),
+    ("allowed.conn-idle", 5, lambda s: s.connection_idle),
+    ("allowed.connect-timeout", 5, lambda s: s.connect_timeout),
+    ("allowed.cpu-us-per-request", 5.5, lambda s: s.cpu_per_request),
+    ("allowed.cpu-us-per-s", 5, lambda s: s.cpu_per_second),
+    ("allowed.max-attempts", 4, lambda s: s.max_attempts),
+    ("allowed.max-open", 5, lambda s: s.max_open),
+    ("allowed.max-retry-after", 5, lambda s: s.max_retry_after),
+    ("allowed.may-tell", True, lambda s: s.peers),
+    ("allowed.probing", True, lambda s: s.probes),
+    ("allowed.second-copies", False, lambda s: s.second_copies),
+    ("allowed.streams-per-conn", 4, lambda s: s.streams_per_connection),
+    ("me", 2, lambda s: s.me),
+    ("over-share-worth", 0.2, lambda s: s.over_share_worth),
+    ("prices.connection", 0.1, lambda s: s.prices.connection),
+    ("prices.cross-zone", 0.1, lambda s: s.prices.cross_zone),
+    ("prices.discovery", 0.1, lambda s: s.prices.discovery),
+    ("prices.handshake", 0.1, lambda s: s.prices.handshake),
+    ("prices.late-fail", 0.1, lambda s: s.prices.late_fail),
+    ("prices.peer", 0.1, lambda s: s.prices.peer),
+    ("prices.probe", 0.1, lambda s: s.prices.probe),
+    ("prices.waste", 0.1, lambda s: s.prices.waste),
+    ("report.source", "inline", lambda s: {"answers": "inline"}[s.report_source]),
+    ("report.source", "on_probe", lambda s: {"probes": "on_probe"}[s.report_source]),
+    ("invariants.answer-slack", 5, lambda s: s.answer_slack),
+    ("invariants.ask-within", 5, lambda s: s.ask_within),
+    ("invariants.stop-sending-within", 5, lambda s: s.drain_grace),
+    ("resolution", 5, lambda s: s.tick),
+    ("weight-source", "nominal", lambda s: s.size_source),
+    ("weight-source", "rough", lambda s: s.size_source),
+    ("weight-source", "live", lambda s: s.size_source),
+    ("worth-by", "work", lambda s: s.worth_by_work and "work"),
+    ("zone", "z", lambda s: s.zone),
+    ("zones", ["y", "z"], lambda s: list(s.zones)),
+]
+
+
+def put(settings, path, value):
+    """The settings with one changed, by its dotted path; [] is the first of a list."""
+    head, _, rest = path.partition(".")
+    if head.endswith("[]"):
+        first, *others = settings[head[:-2]]
+        return {**settings, head[:-2]: [put(first, rest, value), *others]}
+    return {**settings, head: put(settings.get(head, {}), rest, value) if rest else value}
+
+
+@pytest.mark.parametrize(("path", "value", "find"), WIRE)
+def test_each_setting_reaches_the_module(path, value, find):
+    assert find(drill.read_settings(put(SETTINGS, path, value))) == value
+
+
+@pytest.mark.parametrize("path", sorted({p for p, _, _ in WIRE}))
+def test_a_setting_of_the_wrong_type_is_a_fault_that_names_it(path):
+    settings = put(SETTINGS, path, {"odd": 1})
+    code, got, err = run(SYNC, {**SPAWN, "settings": settings}, END)
+    assert (code, err) == (0, "") and got[0]["msg"] == "fault"
+    assert path.split(".")[-1] in got[0]["text"] and "expected" in got[0]["text"]
+
+
+@pytest.mark.parametrize("path", sorted({p for p, _, _ in WIRE} - {"instances", "allowed.max-attempts"}))
+def test_an_absent_setting_has_a_default(path):
+    assert drill.read_settings(put(SETTINGS, path, None))
+
+
+def test_report_names_are_the_fields_own():
+    names = ["rif", "q", "busy", "lat_ms", "rate", "fail_rate", "x0"]
+    got = drill.read_settings(put(SETTINGS, "report.names", names)).report_names
+    assert got == ("in_flight", "queued", "utilisation", "latency_ms", "rate", "fail_rate", "x0")
+
+
+@pytest.mark.parametrize(
+    "stats", [[], [3], [3, 0.5, 9, 9], [None, None], ["x", True], [-5, 1e300], [float("nan"), float("inf")]]
+)
+def test_odd_reports_stop_nothing(stats):
+    settings = put(put(SETTINGS, "report.names", ["q", "busy"]), "report.source", "inline")
+    again = {**KNOCK, "op-id": 10}
+    code, got, err = run(
+        SYNC,
+        {**SPAWN, "settings": settings},
+        PAGE,
+        UPDATE,
+        KNOCK,
+        END,
+        SYNC,
+        {**DONE, "stats": stats},
+        again,
+        END,
+    )
+    assert (code, err) == (0, "")
+    assert [m["op-id"] for m in got if m["msg"] == "transmit"] == [9, 10]
+
+
+def test_a_request_and_a_list_entry_carry_all_that_the_wire_says(monkeypatch):
+    seen = []
+    monkeypatch.setattr(choice.Balancer, "handle", lambda self, now, event: seen.append(event) or [])
+    entry = {"server": "a", "availability": "fading", "locality": "z", "bay": 3, "units": 0, "start-time": 6}
+    knock = {**KNOCK, "billing": "t", "entity": "k", "hint": 5, "is-write": True, "again-by-client": True}
+    run(SYNC, SPAWN, {**PAGE, "entries": [entry]}, UPDATE, knock, {**KNOCK, "billing": 0, "odd": 1}, END)
+    assert seen[0].servers == [api.ListedServer("a", api.DRAINING, "z", 3, 0, 6)]
+    assert seen[1] == api.Request(9, "read", 4000000, "t", True, "k", 5, True)
+    assert seen[2] == api.Request(9, "read", 4000000)
+
+
+def test_every_action_has_its_wire_form(monkeypatch):
+    actions = [
+        (api.Send(1, 'quo"te', 5), {"msg": "transmit", "op-id": 1, "server": 'quo"te', "cap": 5}),
+        (api.Refuse(1), {"msg": "reject", "op-id": 1}),
+        (api.Refuse(1, 8), {"msg": "reject", "op-id": 1, "hold-off": 8}),
+        (api.Fail(1), {"msg": "surrender", "op-id": 1}),
+        (api.Cancel(1, 2), {"msg": "cancel", "op-id": 1, "send-no": 2}),
+        (api.SetTimer(3, 4), {"msg": "after", "offset": 3, "label": 4}),
+        (api.Watch(), {"msg": "watch", "on": True}),
+        (api.Watch(False), {"msg": "watch", "on": False}),
+        (api.FetchList(), {"msg": "fetch"}),
+        (api.Tell(api.ALL, "hi"), {"msg": "broadcast-to", "to": -1, "data": "hi"}),
+        (api.Probe("a"), {"msg": "inspect", "server": "a"}),
+        (api.Release("a"), {"msg": "release", "server": "a"}),
+        (api.Log("x"), {"msg": "remark", "text": "x"}),
+    ]
+    monkeypatch.setattr(choice.Balancer, "handle", lambda self, now, event: [a for a, _ in actions])
+    _, got, _ = run(SYNC, SPAWN, KNOCK, END)
+    assert got[:-1] == [{**form, "node-id": 1} for _, form in actions]
+
+
+def test_odd_but_legal_events_change_nothing():
+    odd = [
+        {"msg": "reminder", "node-id": 1, "label": 999},
+        {"msg": "client-left", "node-id": 1, "op-id": 77},
+        {**DONE, "op-id": 77},
+        {**DONE, "server": "nobody"},
+        {"msg": "established", "node-id": 1, "op-id": 77, "send-no": 0, "server": "a", "latency": 1},
+        {"msg": "sampled", "node-id": 1, "server": "nobody", "disposition": 40},
+        {"msg": "from-peer", "node-id": 1, "by": 2, "data": "hi"},
+        {"msg": "update", "node-id": 1, "mode": "lost", "index": 0},
+    ]
+    plain = {**SPAWN, "settings": put(SETTINGS, "discovery", "pushed")}
+    code, got, err = run(SYNC, plain, PAGE, UPDATE, END, SYNC, *odd, END)
+    assert (code, err) == (0, "")
+    assert {m["msg"] for m in got} <= {"yield", "after"}
+    killed = {"msg": "killed", "node-id": 1}
+    assert run(SYNC, SPAWN, killed, killed, KNOCK, END)[0] == 0
--- /dev/null
+++ b/tests/test_readme.py
@@ -0,0 +1,19 @@
+"""The README's example is run as it stands."""
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_example_runs(capsys):
+    [code] = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.DOTALL)
+    exec(compile(code, "README.md", "exec"), {})
+    assert capsys.readouterr().out.startswith("served by ")
+
+
+def test_module_keeps_its_size():
+    lines = (ROOT / "topazwall/choice.py").read_text().splitlines()
+    assert sum(1 for line in lines if line.strip()) <= 650
+    assert max(map(len, lines)) <= 110
+    assert any("interface.py" in line for line in lines[:5])
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,211 @@
+"""The four rules, stated apart from the module and checked on arbitrary legal event sequences."""
+
+import random
+from collections import defaultdict
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from topazwall import interface as api
+from topazwall.choice import Balancer
+from topazwall.interface import KEYED, NEVER_RAN, SAFE, UNSAFE, Result
+
+ZONES, SECOND = ["north", "south"], 1_000_000
+CLASSES = (
+    api.RequestClass("safe", 300_000, 900_000, 3, 0.2, SAFE),
+    api.RequestClass("all", 300_000, 900_000, 2, 0.0, KEYED, "all", 400_000),
+    api.RequestClass("zone", 300_000, 900_000, 2, 0.3, KEYED, "zone", 400_000),
+    api.RequestClass("cell", 300_000, 900_000, 2, 0.3, KEYED, "cell", 400_000),
+    api.RequestClass("unsafe", 300_000, 900_000, 5, 0.2, UNSAFE),
+)
+BY_NAME = {c.name: c for c in CLASSES}
+RESULTS = [r for r in Result if r != Result.OK] + [Result.OK] * 4
+
+
+class World:
+    """Plays clients, servers and discovery by a seed, and holds each action against the rules."""
+
+    def __init__(self, seed: int, options: dict) -> None:
+        self.rng = random.Random(seed)
+        tenants = (api.Tenant("a", 20.0), api.Tenant("b", 5.0))
+        self.settings = api.Settings(
+            classes=CLASSES, tenants=tenants, tiers=3, tick=1000, warm_up=2 * SECOND, cold_from=0.3, **options
+        )
+        self.now = 1000
+        self.servers: dict[str, api.ListedServer] = {}
+        self.next_id = 0
+        self.log: list[object] = []
+        self.start()
+
+    def start(self) -> None:
+        """A new life of the instance: everything it held is void."""
+        self.balancer = Balancer(self.settings, self.rng.randrange(2**32))
+        self.open: dict[int, dict] = {}  # requests that are owed an answer
+        self.out: list[tuple[int, int, str]] = []
+        self.attempts: dict[int, list[dict]] = defaultdict(list)
+        self.timers: list[tuple[int, int]] = []
+        self.probes: list[str] = []
+        self.told: set[str] = set()  # may be sent to, by the lists this life was given
+        self.give_list(saved=True)
+
+    def feed(self, event: api.Event) -> None:
+        for action in self.balancer.handle(self.now, event):
+            self.log.append((self.now, repr(action)))
+            self.check(action)
+
+    def check(self, a: api.Action) -> None:
+        if isinstance(a, api.Send):
+            request = self.open.get(a.request)
+            assert request is not None, "sent after the end"
+            assert self.now < request["by"], "sent after the client's time"
+            assert a.server in self.told, "sent to a server that drains, is gone or was never listed"
+            assert 0 < a.timeout <= request["by"] - self.now
+            earlier = self.attempts[a.request]
+            assert len(earlier) < self.settings.max_attempts
+            waiting = [e for e in earlier if e["result"] is None]
+            assert self.settings.second_copies or not waiting, "two at once"
+            klass = request["klass"]
+            ran = [e for e in earlier if e["result"] not in NEVER_RAN]
+            if ran and klass.repeat != SAFE:
+                assert klass.repeat == KEYED, "an unsafe request was repeated"
+                here, there = self.servers[a.server], ran[0]["entry"]
+                assert klass.group == "all" or getattr(here, klass.group) == getattr(there, klass.group)
+                assert self.now <= ran[0]["sent"] + klass.repeat_window, "sent after the window"
+            earlier.append({"result": None, "sent": self.now, "entry": self.servers[a.server]})
+            self.out.append((a.request, len(earlier) - 1, a.server))
+        elif isinstance(a, (api.Refuse, api.Fail)):
+            request = self.open.pop(a.request, None)
+            assert request is not None, "a second final answer"
+            assert self.now <= request["by"], "the final answer was late"
+            klass = request["klass"]
+            ran = [e for e in self.attempts[a.request] if e["result"] not in NEVER_RAN]
+            if isinstance(a, api.Refuse) and ran and klass.repeat != SAFE:
+                assert klass.repeat == KEYED and klass.group == "all", "refused what may have run"
+        elif isinstance(a, api.SetTimer):
+            assert a.delay > 0
+            self.timers.append((self.now + a.delay, a.token))
+        elif isinstance(a, api.Cancel):
+            assert self.settings.cancel
+            assert a.attempt < len(self.attempts[a.request]), "cancelled what was never sent"
+        elif isinstance(a, api.Probe):
+            assert self.settings.probes and a.server in self.told
+            self.probes.append(a.server)
+        elif isinstance(a, api.Watch):
+            assert self.settings.must_ask
+
+    def give_list(self, saved: bool = False) -> None:
+        rng = self.rng
+        for _ in range(rng.randrange(4)):
+            name = f"s{rng.randrange(8)}"
+            state = rng.choice([api.UP, api.UP, api.UP, api.DRAINING, api.GONE])
+            started = self.now - rng.randrange(3 * SECOND) if rng.random() < 0.3 else 0
+            self.servers[name] = api.ListedServer(
+                name, state, rng.choice(ZONES), rng.randrange(2), 1.0, max(0, started)
+            )
+        whole = saved or rng.random() < 0.3
+        if whole:  # some are no longer listed at all
+            for name in [n for n in self.servers if rng.random() < 0.1]:
+                self.told.discard(name)
+                self.servers[name] = api.ListedServer(name, api.GONE, self.servers[name].zone)
+        listed = [s for s in self.servers.values() if s.state != api.GONE or not whole]
+        names = {s.id for s in listed if s.state == api.UP}
+        self.told = names if whole else (self.told | names)
+        self.told -= {s.id for s in self.servers.values() if s.state != api.UP}
+        self.feed(api.ServerList(listed, whole=whole, saved=saved))
+
+    def step(self) -> None:
+        rng = self.rng
+        target = self.now + rng.choice([0, 1000, 5000, 20_000, 60_000])
+        while self.timers and min(self.timers)[0] <= target:  # each timer fires when it is due
+            first = min(self.timers)
+            self.timers.remove(first)
+            self.now = max(self.now, first[0])
+            self.feed(api.TimerFired(first[1]))
+        self.now = target
+        for request in [r for r, x in self.open.items() if self.now > x["by"]]:
+            raise AssertionError(f"request {request} was never answered")
+        kind = rng.random()
+        if kind < 0.4:
+            klass = rng.choice(CLASSES)
+            left = rng.choice([0, 1, 1500, 30_000, 200_000, klass.deadline])
+            self.next_id += 1
+            self.open[self.next_id] = {"klass": klass, "by": self.now + left + self.settings.tick}
+            self.feed(api.Request(self.next_id, klass.name, left, rng.choice(["a", "b", ""])))
+        elif kind < 0.75 and self.out:
+            self.finish(self.out.pop(rng.randrange(len(self.out))))
+        elif kind < 0.8 and self.open:
+            gone = rng.choice(sorted(self.open))
+            del self.open[gone]
+            self.feed(api.ClientGone(gone))
+        elif kind < 0.9:
+            self.give_list()
+        elif kind < 0.93 and self.probes:
+            report = rng.choice([None, {"in_flight": float(rng.randrange(5)), "queued": 1.0}])
+            self.feed(api.ProbeAnswered(self.probes.pop(), report is not None, 500, report))
+        elif kind < 0.97:  # stale and unknown things are passed over
+            self.feed(api.AttemptEnded(10**6, 0, "s0", Result.OK, 5))
+            self.feed(api.AttemptEnded(1, 0, "nobody", Result.ERROR, 5))
+            self.feed(api.ClientGone(10**6))
+            self.feed(api.TimerFired(10**9))
+            self.feed(api.ProbeAnswered("nobody", False, 1))
+            self.feed(api.StreamStarted(10**6, 0))
+            self.feed(api.PeerMessage(3, "hello"))
+            if self.settings.must_ask:
+                self.feed(api.ServerList(lost=True))
+        elif rng.random() < 0.2:
+            self.start()
+
+    def finish(self, attempt: tuple[int, int, str]) -> None:
+        request, number, server = attempt
+        result = self.rng.choice(RESULTS)
+        self.attempts[request][number]["result"] = result
+        over = request not in self.open
+        if result == Result.OK and not over:
+            over = True
+            del self.open[request]
+        self.feed(api.AttemptEnded(request, number, server, result, self.rng.randrange(1, 90_000), over))
+
+
+OPTIONS = st.fixed_dictionaries(
+    {
+        "second_copies": st.booleans(),
+        "cancel": st.booleans(),
+        "must_ask": st.booleans(),
+        "max_attempts": st.sampled_from([1, 2, 6]),
+        "tier": st.sampled_from([0, 1, 2]),
+        "instances": st.sampled_from([1, 5]),
+        "probes": st.booleans(),
+        "report_names": st.sampled_from([(), ("in_flight", "queued")]),
+    }
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+@given(seed=st.integers(0, 2**32), options=OPTIONS)
+def test_rules_hold_on_any_legal_day(seed, options):
+    world = World(seed, options)
+    for _ in range(250):
+        world.step()
+
+
+def test_the_same_events_give_the_same_actions():
+    def play() -> list[object]:
+        world = World(77, {"second_copies": True, "cancel": True, "instances": 3})
+        for _ in range(800):
+            world.step()
+        return world.log
+
+    assert play() == play()
+
+
+def test_the_check_notices_a_broken_rule(monkeypatch):
+    """The statement of the rules above can fail: without the one place that guards repeats, it does."""
+    from topazwall import choice
+
+    monkeypatch.setattr(choice.RepeatSafety, "may_send", lambda *a: True)
+    with pytest.raises(AssertionError):
+        for seed in range(20):
+            world = World(seed, {"max_attempts": 3})
+            for _ in range(400):
+                world.step()
--- /dev/null
+++ b/topazwall/choice.py
@@ -0,0 +1,747 @@
+"""All decisions of the balancer.  Its settings, events and actions are in ``interface.py``.
+
+One :class:`Balancer` serves one outbound copy: the node in front of the first tier, or the copy inside a
+server that calls the next tier.  It is told the time and what happened, and answers with actions.
+
+The ordinary path: a request goes at once to the less busy of two members of an adaptive subset, by own calls
+in flight; what fails is retried after a growing random delay while the windowed retry budget allows it, and
+one timeout bounds all attempts.  All else says which server counts as busy, what waits, what is turned away.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from topazwall import interface as api
+from topazwall.interface import KEYED, NEVER_RAN, SAFE, UNSAFE, UP, Result
+
+SECOND = 1_000_000
+
+# The retry budget: retries in the window stay under RATIO x first attempts + FLOOR_PER_S x the window.
+WINDOW_S = 10
+RATIO = 0.2
+FLOOR_PER_S = 0.1  # every copy of every tier has this floor, so it must stay far below a copy's traffic
+UNSEEN_COST = 0.2  # of a retry, after an attempt that is known not to have run: it did no work
+# Retries wait aim / BACKOFF_SHARE, doubled for each earlier failure, times a random 0.5 to 1.5.
+BACKOFF_SHARE = 100
+# Health is the log of the odds that a server fails most calls; see Health.
+BAD_RATE, OK_RATE = 0.7, 0.01
+SCORE_LOW, SCORE_EJECT, SCORE_HIGH = -2.0, 2.5, 5.0
+EJECT_FOR, EJECT_MOST, EJECT_SHARE = SECOND, 16 * SECOND, 0.34  # never more than that share of the tier
+HANG_MEANS = 4.0  # a call out for so many mean latencies, while newer ones were answered, is a hang
+# Subset: members for each server's share of copies, and own calls per member that widen or narrow it.
+COVER, WIDEN_AT, NARROW_AT = 5, 1.0, 0.25
+REPORT_TRUST, CROSSING = 0.5, 2.0  # of a reported waiting request against an own call; of a server elsewhere
+# Admission: calls out, as a multiple of what carries the highest rate seen at the least latency seen.
+GAIN, SLOWER, ALLOWED = 1.6, 2.0, 0.3
+LEAST_EACH = 2.0  # never fewer for each server, by this copy's part
+URGENT = 2.0  # times the usual worth for its time: such a call may overdraw; see Admission.open
+BURST, CREDIT = 4.0, 2  # calls: a limit below that holds on average, over so many seconds; see Admission.open
+LIFO_AFTER, START_EACH, START_MANY = 0.2, 12.0, 3.5  # of the time to the aim; calls a server at the start
+
+
+class RetryBudget:
+    """First attempts and retries of a sliding window; tenants share what retries it allows."""
+
+    def __init__(self) -> None:
+        self.slots: deque[tuple[int, list[float], dict[str, float]]] = deque()  # second, [firsts, retries]
+        self.firsts = self.retries = 0.0
+        self.by_tenant: dict[str, float] = {}
+
+    def _slot(self, now: int) -> tuple[int, list[float], dict[str, float]]:
+        second = now // SECOND
+        while self.slots and self.slots[0][0] <= second - WINDOW_S:
+            _, (firsts, retries), tenants = self.slots.popleft()
+            self.firsts -= firsts
+            self.retries -= retries
+            for name, n in tenants.items():
+                self.by_tenant[name] -= n
+        if not self.slots or self.slots[-1][0] != second:
+            self.slots.append((second, [0.0, 0.0], {}))
+        return self.slots[-1]
+
+    def first(self, now: int) -> None:
+        """Count a first attempt."""
+        self._slot(now)[1][0] += 1
+        self.firsts += 1
+
+    def left(self, now: int) -> float:
+        """How many retries the window still allows."""
+        self._slot(now)
+        return RATIO * self.firsts + FLOOR_PER_S * WINDOW_S - self.retries
+
+    def take(self, now: int, tenant: str, cost: float) -> bool:
+        """Spend a retry if the budget allows it; a tenant may hold as many as are left for the others."""
+        left, held = self.left(now), self.by_tenant.get(tenant, 0)
+        if left < cost or (tenant and held > 0 and held + cost > left):
+            return False
+        _, counts, tenants = self._slot(now)
+        counts[1] += cost
+        self.retries += cost
+        tenants[tenant] = tenants.get(tenant, 0) + cost
+        self.by_tenant[tenant] = held + cost
+        return True
+
+    def per_second(self, now: int) -> float:
+        """Attempts a second in the window."""
+        self._slot(now)
+        return (self.firsts + self.retries) / max(1.0, now / SECOND - self.slots[0][0])
+
+
+class Server:
+    """What this copy knows of one server: what discovery said, own calls out, and how they ended."""
+
+    __slots__ = ("id", "zone", "cell", "size", "started", "out", "score", "scored_at", "ejected_until",
+                 "eject_for", "last_sent", "tokens", "tokens_at", "cap", "answered", "slowness",
+                 "paced", "queued", "reported")  # fmt: skip
+
+    def __init__(self, entry: api.ListedServer, size: float = 1.0) -> None:
+        self.id = entry.id
+        self.out: dict[tuple[int, int], Attempt] = {}  # unanswered calls, oldest first
+        self.last_sent = self.answered = self.reported = 0
+        self.queued = 0.0  # requests that wait there, by its last report
+        self.started = -1
+        self.relist(entry, size)
+
+    def relist(self, entry: api.ListedServer, size: float = 1.0) -> None:
+        """Take changed facts over; a server that has restarted starts with a clean record."""
+        self.zone, self.cell, self.size = entry.zone, entry.cell, size
+        if entry.started != self.started:
+            self.started = entry.started
+            self.score, self.scored_at = SCORE_LOW, 0
+            self.ejected_until, self.eject_for = 0, EJECT_FOR
+            self.tokens, self.tokens_at = 0.0, -1
+            self.slowness, self.paced = 1.0, 0  # see Balancer.slowness
+            self.cap = math.inf  # own calls out that it takes, once it has turned one away
+
+    def same_group(self, where: tuple[str, int], group: str) -> bool:
+        """Whether it drops repeats of a keyed request that was sent to that zone and cell."""
+        return group == "all" or (self.zone == where[0] if group == "zone" else self.cell == where[1])
+
+
+class Attempt:
+    """One attempt of a request."""
+
+    __slots__ = ("server", "sent", "result", "answers", "where")
+
+    def __init__(self, server: Server, sent: int, answers: int) -> None:
+        self.server, self.sent, self.answers, self.where = server, sent, answers, (server.zone, server.cell)
+        self.result: Result | None = None
+
+
+class Call:
+    """One request that is owed a final answer."""
+
+    __slots__ = ("id", "klass", "tenant", "arrived", "give_up", "aim_by", "attempts", "out", "failures",
+                 "over_share", "held", "value")  # fmt: skip
+
+    def __init__(self, request: api.Request, klass: api.RequestClass, now: int) -> None:
+        self.id, self.klass, self.tenant = request.id, klass, request.tenant
+        self.arrived = now
+        self.give_up = self.aim_by = now
+        self.attempts: list[Attempt] = []
+        self.out = self.failures = 0
+        self.value = 0.0  # its worth for the time that a server has it, as a multiple of the usual
+        self.over_share = self.held = False
+
+
+class RepeatSafety:
+    """The one place that says whether a send or a refusal is allowed (rules 1 and 2)."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.most, self.copies, self.tick = settings.max_attempts, settings.second_copies, settings.tick
+
+    @staticmethod
+    def may_have_run(call: Call) -> list[Attempt]:
+        """The attempts that may have run, or still may."""
+        return [a for a in call.attempts if a.result not in NEVER_RAN]
+
+    def may_send(self, call: Call, server: Server | None, now: int) -> bool:
+        """Whether one more attempt is allowed: at that server, or at any if None."""
+        if not call.attempts:
+            return True
+        if len(call.attempts) >= self.most or (call.out and not self.copies):
+            return False
+        if call.klass.repeat == SAFE:
+            return True
+        ran = self.may_have_run(call)
+        if not ran or call.klass.repeat != KEYED:
+            return not ran
+        # Keyed: inside the group that drops repeats, and only while it still remembers the first one.
+        margin = 4 * self.tick + call.klass.repeat_window // 20
+        in_time = now < ran[0].sent + call.klass.repeat_window - margin
+        return in_time and (server is None or server.same_group(ran[0].where, call.klass.group))
+
+    def may_refuse(self, call: Call) -> bool:
+        """Whether the client may be told that trying again is harmless."""
+        if call.klass.repeat == SAFE or not self.may_have_run(call):
+            return True
+        return call.klass.repeat == KEYED and call.klass.group == "all"
+
+
+class Health:
+    """The log of the odds that a server fails most calls, against the tier's rate: if all fail, none does."""
+
+    rate = OK_RATE  # at which the whole tier fails
+
+    def note(self, s: Server, failed: bool, now: int) -> None:
+        """Take one outcome in; ejects for a growing while once failing is far likelier than not."""
+        s.score = self.score(s, now)
+        s.scored_at = now
+        p = min(max(self.rate, OK_RATE), 0.95)
+        bad = max(BAD_RATE, p)
+        s.score += math.log(bad / p) if failed else math.log((1 - bad) / (1 - p)) if bad > p else 0.0
+        s.score = min(max(s.score, SCORE_LOW), SCORE_HIGH)
+        self.rate += 0.02 * (failed - self.rate)
+        if failed and s.score > SCORE_EJECT and now >= s.ejected_until:
+            s.ejected_until = now + s.eject_for
+            s.eject_for = min(2 * s.eject_for, EJECT_MOST)
+        elif not failed and s.score <= 0:
+            s.ejected_until, s.eject_for = 0, EJECT_FOR
+
+    @staticmethod
+    def score(s: Server, now: int) -> float:
+        """The score now; it fades, so that an unused server is tried again."""
+        if s.score <= SCORE_LOW:
+            return s.score
+        return SCORE_LOW + (s.score - SCORE_LOW) * math.exp((s.scored_at - now) / (8 * SECOND))
+
+
+class Latency:
+    """Mean, mean deviation and least mean of the served calls of one class."""
+
+    def __init__(self, guess: float) -> None:
+        self.mean, self.dev, self.least, self.count = guess, guess / 2, guess, 0
+
+    def note(self, latency: int) -> None:
+        """Take one latency in; the least mean creeps up slowly, so that it can follow a lasting change."""
+        self.count += 1
+        gain = max(0.03, 1 / (self.count + 1))
+        self.dev += gain * (abs(latency - self.mean) - self.dev)
+        self.mean += gain * (latency - self.mean)
+        self.least = min(self.least * 1.0001, self.mean) if self.count > 8 else self.mean
+
+
+class Admission:
+    """How many calls this copy may have out, and which of those that wait goes next."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self.limit = self.least = 0.0
+        self.credit, self.counted, self.out = 0.1, 0, 0  # see open
+        self.seen = self.served = self.since = self.waiting = 0
+        self.carried = 0.0  # time that the served calls would have taken at the least latency
+        self.slower = 0.5  # latency as a share of what is still well inside the aim
+        self.usual = 0.0  # see value
+        self.peak, self.hit, self.window = 0, False, 8  # outcomes between two looks; few at the start
+        self.gain = 1 + GAIN / (settings.tiers - settings.tier)  # the next tier's part of a call's time
+        self.flow = 0.0  # calls out that would carry the highest rate seen at the least latency seen
+        self.held: dict[tuple[str, str, bool], deque[Call]] = {}
+        self.gap = {
+            t.name: SECOND * settings.instances / t.quota_per_s for t in settings.tenants if t.quota_per_s
+        }
+        self.due = dict.fromkeys(self.gap, 0.0)
+
+    def within_share(self, tenant: str, now: int) -> bool:
+        """Whether the tenant stays inside its share, as far as this copy's part of the traffic tells."""
+        if self.settings.tier > 0 or tenant not in self.gap:
+            return True
+        due = max(self.due[tenant], now - 2 * SECOND)
+        self.due[tenant] = due + self.gap[tenant] if due <= now else due
+        return due <= now
+
+    def note(self, latency: int, least: float, allowed: float, result: Result, now: int) -> None:
+        """Take an outcome in; after enough of them, set the limit anew: calls beyond it would only queue."""
+        if not self.seen:
+            self.since = now
+        self.seen += 1
+        self.peak = max(self.peak, self.out)
+        if result == Result.OK:
+            self.served += 1
+            self.carried += least
+            self.slower += 0.03 * (latency / allowed - self.slower)
+        if self.seen <= max(self.window, self.out):
+            return
+        # A rate that this limit itself held down, with answers in good time, says nothing against more.
+        kept = 0.9 if not self.served else 1.0 if self.hit and self.slower <= 1 else 0.98
+        self.flow = max(kept * self.flow, self.carried / max(1, now - self.since))
+        if self.slower > 1 or self.served < 0.8 * self.seen:
+            self.limit = max(self.least, 0.85 * min(self.limit, max(self.peak, BURST)))
+            self.window = 32
+        else:
+            self.limit = max(self.least, self.gain * self.flow)
+            self.window = self.window if self.hit else 32
+        self.seen, self.served, self.carried, self.peak, self.hit = 0, 0, 0.0, 0, False
+
+    def count(self, change: int, now: int) -> None:
+        """Calls go out or come back: credit gains by the limit and is used by the calls that were out."""
+        gained = (self.limit - self.out) * (now - self.counted) / SECOND
+        self.credit = max(-BURST, min(CREDIT * self.limit, self.credit + gained))
+        self.counted = now
+        self.out += change
+
+    def open(self, now: int, value: float) -> bool:
+        """Whether a call of this value may go out.
+
+        Hundreds of copies with a call or less each would together fill servers if each could always have one
+        out; so such a limit holds on average over some seconds, and short bursts may pass it.  Calls of
+        twice the usual value may overdraw: a copy with few calls has no queue in which they could come first.
+        """
+        self.count(0, now)
+        enough = self.credit > (-self.limit if value >= URGENT else 0)
+        may = self.out < max(self.limit, BURST) and (self.limit >= BURST or enough)
+        self.hit = self.hit or not may
+        return may
+
+    def pause(self) -> float:
+        """For how long a limit below the burst keeps the next call back, if no answer comes first."""
+        return SECOND * max(0.0, -self.credit) / (self.limit - self.out) if self.limit > self.out else SECOND
+
+    def value(self, worth: float) -> float:
+        """Worth for the time that a call takes, as a multiple of what is usual here."""
+        self.usual += 0.02 * (worth - self.usual) if self.usual else worth
+        return worth / self.usual if self.usual else 1.0
+
+    def hold(self, call: Call, front: bool) -> None:
+        """Let a call wait."""
+        queue = self.held.setdefault((call.klass.name, call.tenant, call.over_share), deque())
+        (queue.appendleft if front else queue.append)(call)
+        call.held = True
+        self.waiting += 1
+
+    def next(self, now: int) -> Call | None:
+        """Take the waiting call worth most; the newest once the oldest waited long, or all would be late."""
+        best: tuple[float, deque[Call]] | None = None
+        for queue in self.held.values():
+            while queue and not queue[0].held:
+                queue.popleft()
+            while queue and not queue[-1].held:
+                queue.pop()
+            if queue:
+                call = queue[0]
+                value = call.klass.worth * (self.settings.over_share_worth if call.over_share else 1.0)
+                if best is None or value > best[0]:
+                    best = value, queue
+        if best is None or not self.open(now, best[1][0].value):
+            return None
+        oldest, queue = best[1][0], best[1]
+        newest_first = now - oldest.arrived > LIFO_AFTER * (oldest.aim_by - oldest.arrived)
+        self.release(call := queue.pop() if newest_first else queue.popleft())
+        return call
+
+    def release(self, call: Call) -> None:
+        """The call waits no longer."""
+        if call.held:
+            call.held = False
+            self.waiting -= 1
+
+
+class Balancer:
+    """The decisions of one outbound copy: ``handle`` takes what happened and says what to do."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.classes = {c.name: c for c in settings.classes}
+        self.all_unsafe = all(c.repeat == UNSAFE for c in settings.classes)
+        self.safety = RepeatSafety(settings)
+        self.budget = RetryBudget()
+        self.health = Health()
+        self.admission = Admission(settings)
+        # Inner tiers leave time for their callers, also when calls carry no time left.
+        self.time_share = 1 - settings.tier / (2 * settings.tiers)
+        self.latency = {c.name: Latency(c.aim / 5 * self.time_share) for c in settings.classes}
+        self.servers: dict[str, Server] = {}  # those that may be sent to
+        self.known: dict[str, Server] = {}  # all that were ever listed
+        self.subset: list[Server] = []
+        self.spare: list[Server] = []
+        self.calls: dict[int, Call] = {}
+        self.answers = self.reviewed = self.ask_failures = 0
+        self.failed_lately, self.resuming = 0.0, False
+        self.alarms: list[tuple[int, int, Callable[[int], None]]] = []
+        self.alarm_count = self.timer = 0
+        self.armed = math.inf
+        self.actions: list[api.Action] = []
+        self.handlers: dict[type, Callable[[int, Any], None]] = {
+            api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.TimerFired: self.on_timer,
+            api.ClientGone: self.on_gone, api.StreamStarted: self.on_gone, api.ServerList: self.on_list,
+        }  # fmt: skip
+        self.must_ask = settings.must_ask
+        self.sized = settings.size_source in (api.NOMINAL, api.ROUGH)  # a live size echoes what copies did
+        self.home = settings.zone if settings.prices.cross_zone > 0 and len(settings.zones) > 1 else ""
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        """Take one event; returns the actions to carry out now, in order."""
+        if self.must_ask:
+            self.must_ask = False
+            self.watch_after(now, self.random.randrange(self.settings.ask_within // 4))
+        if type(event) in self.handlers:
+            self.handlers[type(event)](now, event)
+        done, self.actions = self.actions, []
+        return done
+
+    def alarm(self, now: int, delay: float, what: Callable[[int], None]) -> None:
+        """Have something looked at later; one timer is out for the earliest of them."""
+        when = now + max(self.settings.tick, int(delay))
+        self.alarm_count += 1
+        heapq.heappush(self.alarms, (when, self.alarm_count, what))
+        self.arm(now)
+
+    def arm(self, now: int) -> None:
+        """Have a timer out for the earliest alarm."""
+        if self.alarms and self.alarms[0][0] < self.armed:
+            self.armed = self.alarms[0][0]
+            self.timer += 1
+            self.actions.append(api.SetTimer(max(1, int(self.armed) - now), self.timer))
+
+    def on_timer(self, now: int, event: api.TimerFired) -> None:
+        """Look at all that is due.  Timers that an earlier alarm replaced must set no further ones."""
+        if event.token != self.timer:
+            return
+        self.armed = math.inf
+        while self.alarms and self.alarms[0][0] <= now:
+            heapq.heappop(self.alarms)[2](now)
+        self.arm(now)
+
+    def on_list(self, now: int, event: api.ServerList) -> None:
+        """Keep to the list at once: what drains or is gone gets nothing more."""
+        if event.lost:
+            # Asking again at once, from every copy, would keep discovery down.
+            wait = min(0.8 * self.settings.ask_within, SECOND / 2 * 2**self.ask_failures)
+            self.ask_failures = min(self.ask_failures + 1, 10)
+            return self.watch_after(now, wait * self.random.uniform(0.5, 1))
+        self.ask_failures *= event.saved
+        listed, before = set(), len(self.servers)
+        for entry in event.servers:
+            listed.add(entry.id)
+            size = entry.size if self.sized and entry.size > 0 else 1.0
+            server = self.known.setdefault(entry.id, Server(entry, size))
+            server.relist(entry, size)
+            if entry.state != UP:
+                self.drop(server)
+            elif entry.id not in self.servers:
+                self.servers[entry.id] = server
+                self.spare.append(server)
+        for server in [s for s in self.servers.values() if event.whole and s.id not in listed]:
+            self.drop(server)
+        part = min(1.0, max(1, len(self.servers)) / max(1, before))  # fewer servers carry less than before
+        self.admission.flow, self.admission.limit = self.admission.flow * part, self.admission.limit * part
+        share = len(self.servers) / self.settings.instances
+        self.admission.least = LEAST_EACH * share
+        if not self.admission.flow:  # no rush at the start, least of all where copies outnumber servers
+            self.admission.limit = share * (START_EACH if share >= 1 else START_MANY)
+            self.admission.window = 8 if share < 1 else 32
+        while self.spare and len(self.subset) < self.least():
+            self.draw()
+        self.dispatch(now)
+
+    def watch_after(self, now: int, wait: float) -> None:
+        """Ask discovery for the list and its changes after a while."""
+        self.alarm(now, wait, lambda _: self.actions.append(api.Watch()))
+
+    def drop(self, server: Server) -> None:
+        """Send nothing more to this server."""
+        if self.servers.pop(server.id, None) is not None:
+            (self.subset if server in self.subset else self.spare).remove(server)
+
+    def least(self) -> int:
+        """The smallest subset at which all copies together still cover every server about evenly."""
+        return min(len(self.servers), max(4, math.ceil(COVER * len(self.servers) / self.settings.instances)))
+
+    def review(self, now: int) -> None:
+        """Now and then, widen the subset when calls pile up or fail, and narrow it when quiet."""
+        if now - self.reviewed < SECOND // 2:
+            return
+        self.reviewed = now
+        pressure = self.admission.out / max(1, len(self.subset))
+        if (pressure > WIDEN_AT or self.failed_lately > 0.1) and self.spare:
+            self.draw()
+        elif pressure < NARROW_AT and len(self.subset) > self.least():
+            self.spare.append(self.subset.pop(self.random.randrange(len(self.subset))))
+
+    def warmth(self, s: Server, now: int) -> float:
+        """The least share of its capacity that a server can have by now."""
+        g = self.settings
+        age = now - s.started
+        if not s.started or age >= g.warm_up:
+            return 1.0
+        return g.cold_from + (1 - g.cold_from) * max(0, age) / g.warm_up
+
+    def cold_full(self, s: Server, now: int) -> bool:
+        """Whether a cold server has had this copy's share of half of what would push it over."""
+        if (warmth := self.warmth(s, now)) >= 1:
+            return False
+        share = self.budget.per_second(now) / max(1, len(self.servers))
+        rate = share * min(1.0, warmth * max(1.0, self.settings.fall_multiple / 2))
+        if s.tokens_at < 0:
+            s.tokens = self.random.random()  # copies that see it at the same time don't all send at once
+        else:
+            s.tokens = min(1.0, s.tokens + rate * (now - s.tokens_at) / SECOND)
+        s.tokens_at = now
+        return s.tokens < 1
+
+    def hangs(self, s: Server, now: int) -> bool:
+        """Whether its oldest call is out for far longer than newer calls elsewhere took."""
+        oldest = next(iter(s.out.values()), None)
+        return (
+            oldest is not None
+            and self.answers - oldest.answers >= 8
+            and now - oldest.sent > HANG_MEANS * self.mean_latency()
+        )
+
+    def mean_latency(self) -> float:
+        """Mean latency over classes."""
+        return sum(x.mean for x in self.latency.values()) / len(self.latency)
+
+    def usable(self, s: Server, call: Call, now: int) -> bool:
+        """Whether this call may go to this server now."""
+        unsafe = call.klass.repeat == UNSAFE and not self.all_unsafe
+        if s.ejected_until and (now < s.ejected_until or s.out or unsafe):  # later one safe call tries it
+            return False
+        return len(s.out) < s.cap and not self.cold_full(s, now) and not self.hangs(s, now)
+
+    def load(self, s: Server, now: int) -> tuple[float, float]:
+        """How busy it counts: own calls out, more after failures and while it is slow; then its rest."""
+        own = (len(s.out) + self.health.score(s, now) - SCORE_LOW) / self.warmth(s, now)
+        # Few own calls tell little: for a while a slow server's calls weigh more.
+        # Its last report is old and noisy: a correction that fades.  Crossing needs a busy neighbour.
+        own += REPORT_TRUST * s.queued * max(0.0, 1 - (now - s.reported) / (2 * SECOND))
+        busy = (own + s.size) / s.size * self.slowness(s, now)
+        return busy * (CROSSING if self.home and s.zone != self.home else 1), (s.last_sent - now) * s.size
+
+    @staticmethod
+    def slowness(s: Server, now: int) -> float:
+        """Its latest latencies as a multiple of the tier's; it fades, so that the server is tried again."""
+        return 0.9 + (s.slowness - 0.9) * math.exp((s.paced - now) / (8 * SECOND))
+
+    def shuffled(self, members: list[Server]) -> list[Server]:
+        """The members in random order, larger ones likelier first, so that each server gets its part.
+
+        Where crossing zones has a price, one of the own zone comes first, so that any pair has one.
+        """
+        order = sorted(members, key=lambda s: self.random.expovariate(s.size))
+        near = next((i for i, s in enumerate(order) if s.zone == self.home), 0) if self.home else 0
+        order.insert(0, order.pop(near)) if near else None
+        return order
+
+    def draw(self) -> None:
+        """Widen the subset by a random spare server; where crossing has a price, half are of the own zone."""
+        spare = list(range(len(self.spare)))
+        if self.home and 2 * sum(s.zone == self.home for s in self.subset) <= len(self.subset):
+            spare = [i for i in spare if self.spare[i].zone == self.home] or spare
+        self.subset.append(self.spare.pop(self.random.choice(spare)))
+
+    def pick(self, call: Call, now: int) -> list[Server]:
+        """Two random members that this call may go to; further ones only where those can't be used."""
+        tried = {a.server.id for a in call.attempts}
+        even, pair = math.ceil((self.admission.out + 1) / max(1, len(self.subset))), list[Server]()
+        # A member with more than its even part of own calls is passed over while others have less.
+        for members, most in ((self.subset, even), (self.subset, math.inf), (self.spare, math.inf)):
+            for s in self.shuffled(members):
+                if s.id in tried or len(s.out) >= most or not self.safety.may_send(call, s, now):
+                    continue
+                if self.usable(s, call, now):
+                    pair.append(s)
+                    if len(pair) == 2:
+                        return pair
+            if pair:
+                return pair
+        # The floor: with nothing better left, an ejected or tried server is better than none.
+        ejected = sum(1 for s in self.servers.values() if s.ejected_until > now)
+        if tried or ejected > EJECT_SHARE * len(self.servers):
+            for s in self.shuffled(self.subset):
+                if self.safety.may_send(call, s, now) and not self.cold_full(s, now):
+                    return [s]
+        return []
+
+    def on_request(self, now: int, event: api.Request) -> None:
+        """Take a request: send it at once, or let it wait."""
+        if (klass := self.classes.get(event.klass)) is None:
+            return self.actions.append(api.Fail(event.id))
+        call = Call(event, klass, now)
+        self.calls[call.id] = call
+        self.review(now)
+        # Past the last moment at which an answer is worth anything, waiting only wastes work.
+        useful = klass.deadline if klass.late_worth > 0 else klass.aim
+        margin = 2 * self.settings.tick
+        call.give_up = now + max(0, min(event.time_left - margin, int(useful * self.time_share) - margin))
+        call.aim_by = now + int(klass.aim * self.time_share)
+        call.over_share = not self.admission.within_share(call.tenant, now)
+        share = self.settings.over_share_worth if call.over_share else 1.0
+        call.value = self.admission.value(klass.worth * share / max(1.0, self.latency[klass.name].mean))
+        if call.give_up <= now:
+            return self.end(call, now)
+        self.alarm(now, call.give_up - now, lambda t: self.end(call, t))
+        if self.admission.waiting or not self.admission.open(now, call.value) or not self.send(call, now):
+            self.wait(call, now, front=False)
+            self.dispatch(now)
+
+    def send(self, call: Call, now: int) -> bool:
+        """Start an attempt at the less busy of two, if servers may have it."""
+        pair = self.pick(call, now)
+        if not pair:
+            return False
+        self.start(call, min(pair, key=lambda s: self.load(s, now)), now)
+        return True
+
+    def start(self, call: Call, server: Server, now: int) -> None:
+        """Start an attempt at this server; the last look at whether it is allowed is here."""
+        if not self.safety.may_send(call, server, now):
+            return self.end(call, now)
+        number = len(call.attempts)
+        attempt = Attempt(server, now, self.answers)
+        if not number:
+            self.budget.first(now)
+        if self.warmth(server, now) < 1:
+            server.tokens -= 1
+        call.attempts.append(attempt)
+        call.out += 1
+        self.admission.count(1, now)
+        server.out[call.id, number] = attempt
+        server.last_sent = now
+        self.actions.append(api.Send(call.id, server.id, max(1, call.give_up - now)))
+
+    def on_ended(self, now: int, event: api.AttemptEnded) -> None:
+        """An attempt has ended: learn from it, then finish, retry or give up."""
+        server = self.known.get(event.server)
+        key = event.request, event.attempt
+        attempt = server.out.get(key) if server else None
+        if attempt is None or server is None or attempt.result is not None:
+            return
+        attempt.result = event.result
+        if event.result in (Result.TIMEOUT, Result.CANCELLED):
+            # The server may well work on: it counts as busy with the call for about as long as one takes.
+            self.alarm(now, self.mean_latency(), lambda t: self.free(server, key, t))
+        else:
+            self.free(server, key, now)
+        if event.report and "queued" in event.report:
+            server.queued, server.reported = max(0.0, event.report["queued"]), now
+        self.learn(server, event, now)
+        if (call := self.calls.get(event.request)) is not None:
+            call.out -= 1
+            if event.finished:
+                self.forget(call)
+            elif not call.out:
+                call.failures += 1
+                self.retry(call, now)
+        self.dispatch(now)
+
+    def free(self, server: Server, key: tuple[int, int], now: int) -> None:
+        """The server is done with a call."""
+        del server.out[key]
+        self.admission.count(-1, now)
+        self.dispatch(now)
+
+    def learn(self, server: Server, event: api.AttemptEnded, now: int) -> None:
+        """Take an outcome into health, latencies and the limit."""
+        result, call = event.result, self.calls.get(event.request)
+        if result in (Result.CANCELLED, Result.NOT_SENT):
+            return
+        failed = result != Result.OK
+        self.failed_lately += 0.05 * (failed - self.failed_lately)
+        # A server that turns calls away, or takes no more connections while it answers, is full, not sick:
+        # it gets no more than it had, and a little more with each answer.
+        crowded = result == Result.CONNECT_FAILED and server.out and now - server.answered < SECOND
+        if result == Result.FULL or crowded:
+            server.cap = max(1.0, min(server.cap, float(len(server.out))))
+        else:
+            for _ in range(1 + (result == Result.CONNECT_FAILED)):  # none at all weighs double: it is down
+                self.health.note(server, failed, now)
+        if result == Result.OK:
+            self.answers, server.answered = self.answers + 1, now
+            server.cap += 0.5 / server.cap
+        if call is not None:
+            seen = self.latency[call.klass.name]
+            if result in (Result.OK, Result.TIMEOUT):
+                pace, server.paced = self.slowness(server, now), now
+                server.slowness = pace + 0.25 * (min(event.latency / seen.mean, 6.0) - pace)
+            if result == Result.OK:
+                seen.note(event.latency)
+            allowed = max(SLOWER * seen.least, ALLOWED * call.klass.aim * self.time_share)
+            self.admission.note(event.latency, seen.least, allowed, result, now)
+
+    def retry(self, call: Call, now: int) -> None:
+        """Another attempt after a growing random delay, if safety, time and the budget allow it."""
+        cost = UNSEEN_COST if call.attempts[-1].result in NEVER_RAN else 1.0
+        base = call.klass.aim / BACKOFF_SHARE * 2 ** (call.failures - 1)
+        wait = base * self.random.uniform(0.5, 1.5)
+        allowed = now + wait < call.give_up and self.safety.may_send(call, None, now)
+        if allowed and self.budget.take(now, call.tenant, cost):
+            self.alarm(now, wait, lambda t: self.again(call, t))
+        else:
+            self.end(call, now)
+
+    def again(self, call: Call, now: int) -> None:
+        """The delay is over."""
+        if call.id in self.calls and not call.out and not call.held:
+            self.place(call, now)
+
+    def place(self, call: Call, now: int) -> bool:
+        """Send a call; if no server may have it now, it waits in front."""
+        if self.send(call, now):
+            return True
+        if self.safety.may_send(call, None, now):
+            self.wait(call, now)
+        else:
+            self.end(call, now)
+        return False
+
+    def wait(self, call: Call, now: int, front: bool = True) -> None:
+        """Let a call wait; it is turned away once it is too late, while its client can still try again."""
+        self.admission.hold(call, front)
+        self.alarm(now, self.last_chance(call) - now, lambda t: self.shed(call, t))
+
+    def shed(self, call: Call, now: int) -> None:
+        """Turn a waiting call away once it is too late."""
+        if call.held and now >= self.last_chance(call):
+            self.end(call, now)
+
+    def dispatch(self, now: int) -> None:
+        """Send waiting calls while there is room."""
+        while call := self.admission.next(now):
+            if now >= self.last_chance(call):
+                self.end(call, now)
+            elif not self.place(call, now):
+                return
+        if self.admission.waiting and not self.resuming and not self.admission.out:
+            self.resuming = True
+            self.alarm(now, self.admission.pause(), self.resume)
+
+    def resume(self, now: int) -> None:
+        """The limit lets a call out again though no answer came."""
+        self.resuming = False
+        self.dispatch(now)
+
+    def last_chance(self, call: Call) -> int:
+        """When a waiting call must be sent to be answered before its aim; before its end if work was done."""
+        seen = self.latency[call.klass.name]
+        if self.settings.tier or call.attempts:
+            return call.give_up - int(seen.mean)
+        return call.aim_by - int(seen.mean + seen.dev)
+
+    def end(self, call: Call, now: int) -> None:
+        """The final answer, if still owed: refused where that is a promise we can keep, else failed."""
+        if call.id not in self.calls:
+            return
+        self.actions.append((api.Refuse if self.safety.may_refuse(call) else api.Fail)(call.id))
+        self.forget(call)
+
+    def forget(self, call: Call, streams: int = -1) -> None:
+        """The request is over: what is out for it, but the attempt that streams, is work for nobody."""
+        if self.settings.cancel:
+            for number, attempt in enumerate(call.attempts):
+                if attempt.result is None and number != streams:
+                    self.actions.append(api.Cancel(call.id, number))
+        del self.calls[call.id]
+        self.admission.release(call)
+
+    def on_gone(self, now: int, event: api.ClientGone | api.StreamStarted) -> None:
+        """The client has left, or has the answer's beginning: nothing more is owed."""
+        if call := self.calls.get(event.request):
+            self.forget(call, event.attempt if isinstance(event, api.StreamStarted) else -1)
+            self.dispatch(now)
