Reload the configuration on SIGHUP: it ended the node

Its log stops without a line, so no exception: __main__ had no handler for SIGHUP, whose default ends a process. Also ruled out that a handler alone would do: config._address lets NODE_DISCOVERY go first, and Discovery held its address for good.

Now the file is read anew, discovery in it goes first, calls under way at the old address are cancelled, and the new one is asked for the whole list at once (its versions are its own). A broken file is logged and changes nothing. Test over sockets: a broken file, two moves in a row with a request held, late answers of the old ones.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 import pytest
-from peers import LIMIT, SETTINGS, Caller, Peer, endpoint, listing, reply, run, soon
+from peers import LIMIT, SETTINGS, Caller, Peer, Registry, endpoint, listing, reply, run, soon
 
 from topazwall.net.clock import Clock
 from topazwall.net.config import ConfigError, load
@@ -145,6 +145,60 @@
     run(scenario())
 
 
+def test_sighup_moves_discovery_by_the_file_and_a_broken_file_changes_nothing(tmp_path):
+    """Guards against a node that ends on SIGHUP, drops what is out, or goes on asking at the old address."""
+
+    async def scenario():
+        async def held():
+            await peer.release.wait()
+            return reply(200, b"held")
+
+        async with (
+            Peer(lambda _: held()) as peer,
+            Peer(lambda _: reply(200, b"new")) as newer,
+            Registry() as old,
+            Registry() as new,
+            Registry() as last,
+        ):
+            path = tmp_path / "c.json"
+            raw = raw_config(listen=f"127.0.0.1:{free_port()}", known=listing(7, endpoint("s-0", peer.port)))
+            raw["settings"] = SETTINGS | {"discovery": "pushed"}  # asks from the start
+            given = os.environ | written(path, raw) | {"NODE_DISCOVERY": f"127.0.0.1:{old.port}"}
+            process = await asyncio.create_subprocess_exec(
+                *COMMAND, cwd=ROOT, env=given, stderr=asyncio.subprocess.PIPE
+            )
+            try:
+                await said(process, b"listens")
+                assert "since=7&" in (await soon(old.seen.get())).url
+                caller = await Caller.connect(int(raw["listen"].split(":")[1]))
+                caller.send(url="/held")
+                await soon(peer.seen.get())
+                path.write_text("{")
+                process.send_signal(signal.SIGHUP)
+                await said(process, b"not read anew")
+                for registry in (new, last):
+                    written(path, raw | {"discovery": f"127.0.0.1:{registry.port}"})
+                    process.send_signal(signal.SIGHUP)
+                    assert (await soon(registry.seen.get())).url == "/api/targets"
+                for registry in (old, new):
+                    registry.put(listing(99))  # late: it reaches nobody
+                    assert await soon(registry.left.get()) == 1
+                last.put(listing(3, endpoint("s-1", newer.port)))
+                assert "since=3&" in (await soon(last.seen.get())).url
+                peer.release.set()
+                assert (await caller.answer())[2] == b"held"
+                caller.send(url="/new")
+                assert (await caller.answer())[2] == b"new"
+                process.send_signal(signal.SIGTERM)
+                assert await soon(process.wait()) == 0
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+
+    run(scenario())
+
+
 def free_port() -> int:
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
--- a/topazwall/net/config.py
+++ b/topazwall/net/config.py
@@ -90,8 +90,12 @@
     return limit if soft == resource.RLIM_INFINITY else min(limit, soft)
 
 
-def load(environment: Mapping[str, str]) -> Config:
-    """The node's configuration; variables go before the file's own values."""
+def load(environment: Mapping[str, str], again: bool = False) -> Config:
+    """The node's configuration; variables go before the file's own values.
+
+    Read ``again``, the file is newer than the variables, which a running process can't be told anew: then the
+    address of discovery in it goes first.
+    """
     path = environment.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG: missing, expected the path of the configuration")
@@ -104,7 +108,7 @@
     return Config(
         name=str(environment.get("NODE_NAME") or raw.get("name") or "node"),
         listen=_address(environment, raw, "listen"),
-        discovery=_address(environment, raw, "discovery"),
+        discovery=_address({} if again and raw.get("discovery") else environment, raw, "discovery"),
         seed=_seed(raw.get("seed", "0")),
         sockets=_sockets(raw),
         known=None if known is None else _object(known, "known"),
--- a/topazwall/net/discovery.py
+++ b/topazwall/net/discovery.py
@@ -135,11 +135,21 @@
         self._fetches.add(task)
         task.add_done_callback(self._fetches.discard)
 
+    def move(self, address: Address) -> None:
+        """Ask at another address from now on, at once and for the whole list: its versions are its own.
+
+        What is under way at the old one is called off, so neither a late answer nor its end counts as news.
+        """
+        self.stop()
+        self._address, self.index = address, None
+        self.watch(True)
+
     def stop(self) -> None:
         """Ask no more."""
         for task in [self._watch, *self._fetches]:
             if task is not None:
                 task.cancel()
+        self._watch = None
 
     async def _fetching(self) -> None:
         try:
--- a/topazwall/net/node.py
+++ b/topazwall/net/node.py
@@ -59,7 +59,7 @@
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         settings = config.settings
-        self.settings, self.clock = settings, Clock(loop)
+        self.settings, self.clock, self.config = settings, Clock(loop), config
         self.balancer = Balancer(settings, config.seed)
         self.classes = {c.name: c for c in settings.classes}
         self.requests: dict[int, Request] = {}
@@ -92,6 +92,16 @@
         self.discovery.start()
         self.server.start()
 
+    def reload(self, config: Config) -> None:
+        """Take a new configuration over while serving: discovery's address; what else changed has to wait."""
+        old, self.config = self.config, config
+        if config.discovery != old.discovery:
+            log.info("discovery is now at %s:%d", *config.discovery)
+            self.discovery.move(config.discovery)
+        for name in ("name", "listen", "sockets", "settings"):
+            if getattr(config, name) != getattr(old, name):
+                log.warning("the configuration's new %s counts from the next start", name)
+
     async def leave(self) -> None:
         """End as a planned restart asks for: answer what was taken, take nothing after the changeover."""
         await self.server.leave(max(c.deadline for c in self.settings.classes))
