Give callers limits of time, refuse at the head, trust no bytes behind an answer

Ruled out by a probe: llhttp itself refuses both lengths and encodings, repeated lengths, folds, bare CR and LF; it takes "gzip, chunked" and trailers.

Now a caller is awaited for 2 s (first request, rest of one, reading, ending), one timer for all; what rests is closed after 15 s, or from 2.1 s on when others need the place, after those that are awaited in vain; one shared read buffer. A 4xx of a server is final. A connection rests 5 ms before it is used again, an answer is whole 0.5 s after its first byte. Tests: tests/test_rude.py and five in test_upstream.py, all over sockets.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -1,6 +1,7 @@
 """Small fake peers on port 0: a server by script, discovery by hand, a caller that writes bytes."""
 
 import asyncio
+import itertools
 import json
 import socket
 from collections.abc import Callable
@@ -9,6 +10,7 @@
 from topazwall.net.config import Config
 from topazwall.net.node import Node
 
+IDS = itertools.count(0x9B1F03AA)  # a request's id is new each time
 LIMIT = 30.0  # seconds for anything that must happen; nothing is expected to take a tenth of it
 
 SETTINGS = {
@@ -166,7 +168,7 @@
     def send(
         self, klass: str = "look", method: str = "GET", url: str = "/api", body: bytes = b"", **extra
     ) -> None:
-        headers = {"Host": "app.svc", "X-Request-ID": "9b1f03aa", "X-Priority-Class": klass} | {
+        headers = {"Host": "app.svc", "X-Request-ID": f"r-{next(IDS)}", "X-Priority-Class": klass} | {
             k.replace("_", "-"): v for k, v in extra.items()
         }
         if body:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,6 +10,7 @@
 from topazwall.net.discovery import BadList, parse
 from topazwall.net.node import parse_report
 from topazwall.net.server import parse_timeout
+from topazwall.net.upstream import SETTLE
 
 
 def test_request_and_answer_go_through_unchanged():
@@ -44,6 +45,7 @@
             for _ in range(3):
                 caller.send()
                 assert (await caller.answer())[0] == 200
+                await asyncio.sleep(2 * SETTLE / 1e6)
             assert peer.connections == 1
 
     run(scenario())
@@ -354,8 +356,9 @@
     assert [e.server.state for e in got.entries] == [api.UP, api.GONE]
 
 
-def test_callers_are_bounded():
+def test_callers_are_bounded(monkeypatch):
     """At the bound the caller that is idle longest goes; with none idle, one more is told to go elsewhere."""
+    monkeypatch.setattr("topazwall.net.server.IDLE_LEAST", 0)
 
     async def scenario():
         async with Peer(lambda seen: None) as peer, Running(peer) as node:
--- /dev/null
+++ b/tests/test_rude.py
@@ -0,0 +1,232 @@
+"""Callers that send what can't be read, say nothing or never end: each is told or closed."""
+
+import asyncio
+import socket
+
+import pytest
+from peers import Peer, Running, reply, run, soon
+
+from topazwall.net import server as callers
+from topazwall.net.clock import Clock
+
+HEAD = b"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: rude\r\nX-Priority-Class: look\r\n"
+
+
+@pytest.fixture
+def impatient(monkeypatch):
+    """Limits that a test need not wait for."""
+    monkeypatch.setattr(callers, "PATIENCE", 50_000)
+
+
+@pytest.mark.parametrize(
+    ("said", "status"),
+    [
+        (b"", None),
+        (b"\r\n", b"408"),
+        (b"GET /api HT", b"408"),
+        (b"\r\n" * 10_000, b"431"),
+        (HEAD, b"408"),
+        (HEAD + b"Content-Length: 9\r\n\r\nabc", b"408"),
+    ],
+)
+def test_caller_that_does_not_come_to_an_end_is_told_or_closed(impatient, said, status):
+    """Guards against half requests and silent connections that take places for good."""
+
+    async def scenario():
+        async with Peer(lambda _: reply(200)) as peer, Running(peer) as node:
+            caller = await node.caller()
+            caller.writer.write(said)
+            told = await caller.ended()
+            assert told == b"" if status is None else told.startswith(b"HTTP/1.1 " + status)
+            assert peer.seen.empty()
+
+    run(scenario())
+
+
+def test_half_a_request_behind_a_whole_one_waits_for_its_answer_only(impatient):
+    async def scenario():
+        async def held():
+            await peer.release.wait()
+            return reply(200, b"car")
+
+        async with Peer(lambda _: held()) as peer, Running(peer) as node:
+            caller = await node.caller()
+            caller.send()
+            caller.writer.write(b"GET /half")
+            await soon(peer.seen.get())
+            [one] = node.node.server._callers
+            while not one.broken:
+                await asyncio.sleep(0.01)
+            peer.release.set()
+            assert (await caller.answer())[2] == b"car"
+            assert (await caller.ended()).startswith(b"HTTP/1.1 408 ")
+
+    run(scenario())
+
+
+def test_caller_that_never_reads_its_answers_is_cut_off(impatient):
+    """Guards against answers that pile up, and a connection that never ends, for one that reads nothing."""
+
+    async def scenario():
+        async with Peer(lambda _: reply(200, b"x" * 60_000)) as peer, Running(peer) as node:
+            caller = await node.caller()
+            caller.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.writer.transport.pause_reading()
+            while node.node.server._callers or not peer.seen.qsize():
+                if not caller.writer.transport.is_closing() and peer.seen.qsize() < 300:
+                    caller.send()
+                await asyncio.sleep(0.005)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (HEAD + b"Content-Length: 60000000\r\n\r\n", b"413"),
+        (HEAD + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", b"400"),
+        (HEAD + b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", b"400"),
+        (HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", b"400"),
+        (HEAD + b"Transfer-Encoding: identity\r\n\r\n", b"400"),
+        (HEAD + b"Content-Length: 0\r\nContent-Length: 0\r\n\r\n", b"400"),
+        (HEAD + b"Content-Length: +1\r\n\r\na", b"400"),
+        (HEAD + b"Content-Length: 99999999999999999999\r\n\r\n", b"400"),
+        (HEAD + b"X-A: a\r\n b\r\n\r\n", b"400"),
+        (HEAD + b"X-A: a\rb\r\n\r\n", b"400"),
+        (HEAD + b"X-A: a\nX-B: b\r\n\r\n", b"400"),
+        (HEAD + b"X-Request-ID: other\r\n\r\n", b"400"),
+        (HEAD + b"X-Timeout: 5m\r\nX-Timeout: 9m\r\n\r\n", b"400"),
+        (HEAD + b"X-A: " + b"x" * 20_000, b"431"),
+        (HEAD + b"X-A: " + b"x" * 20_000 + b"\r\n\r\n", b"431"),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n10001\r\n" + b"x" * 65_537, b"413"),
+    ],
+)
+def test_what_is_too_much_or_means_two_things_is_refused_at_its_head(raw, status):
+    """Guards against requests hidden in bodies; the one told here as hidden never reaches a server."""
+    hidden = b"GET /hidden HTTP/1.1\r\nHost: a\r\nX-Request-ID: h\r\nX-Priority-Class: look\r\n\r\n"
+
+    async def scenario():
+        async with Peer(lambda _: reply(200)) as peer, Running(peer) as node:
+            caller = await node.caller()
+            caller.writer.write(raw + hidden)
+            caller.writer.write_eof()
+            assert (await caller.ended()).startswith(b"HTTP/1.1 " + status)
+            caller = await node.caller()
+            caller.send(url="/usual")
+            assert (await caller.answer())[0] == 200
+            assert [peer.seen.get_nowait().url for _ in range(peer.seen.qsize())] == ["/usual"]
+
+    run(scenario())
+
+
+def test_trailer_does_not_change_what_was_read_at_the_head():
+    async def scenario():
+        async with Peer(lambda _: reply(200)) as peer, Running(peer) as node:
+            caller = await node.caller()
+            caller.writer.write(
+                HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Request-ID: other\r\n\r\n"
+            )
+            assert (await caller.answer())[0] == 200
+            seen = peer.seen.get_nowait()
+            assert (seen.headers["x-request-id"], seen.body) == ("rude", b"a")
+
+    run(scenario())
+
+
+def test_id_of_an_open_request_is_turned_away_and_is_free_again_after_it():
+    """Guards against a second copy that is out beside the first; a resend after a close is good."""
+
+    async def scenario():
+        async with (
+            Peer(lambda seen: None if seen.url == "/held" else reply(200)) as peer,
+            Running(peer) as node,
+        ):
+            first, copy = await node.caller(), await node.caller()
+            first.send(url="/held", X_Request_ID="same")
+            await soon(peer.seen.get())
+            copy.send(X_Request_ID="same")
+            assert (await copy.answer())[0] == 409
+            assert await copy.ended() == b""
+            first.close()
+            assert await soon(peer.left.get()) == 1
+            again = await node.caller()
+            again.send(X_Request_ID="same")
+            assert (await again.answer())[0] == 200
+            assert not node.node.open
+
+    run(scenario())
+
+
+def test_request_that_a_server_has_no_use_for_is_not_tried_elsewhere():
+    """Guards against rude requests that use up the retry budget and put healthy servers out."""
+
+    async def scenario():
+        async with Peer(lambda _: reply(404, b"no")) as peer, Running(peer) as node:
+            [server] = node.node.balancer.servers.values()
+            score, left = server.score, node.node.balancer.budget.left(node.node.clock.now())
+            caller = await node.caller()
+            caller.send()
+            assert (await caller.answer())[0] == 404
+            assert await caller.ended() == b""
+            assert peer.seen.qsize() == 1
+            assert (server.score, server.out) == (score, {})
+            assert node.node.balancer.budget.left(node.node.clock.now()) >= left
+            assert not node.node.balancer.calls
+
+    run(scenario())
+
+
+def test_usual_caller_gets_in_past_many_that_say_nothing(monkeypatch):
+    """Those that say nothing make room, oldest first, long before their time is up."""
+    monkeypatch.setattr(callers, "PATIENCE", 60_000_000)
+
+    async def scenario():
+        async with Peer(lambda _: reply(200, b"car")) as peer, Running(peer) as node:
+            node.node.server.most = 8
+            usual = await node.caller()
+            usual.send()
+            assert (await usual.answer())[0] == 200
+            for _ in range(60):
+                await node.caller()
+            late = await node.caller()
+            for caller in (late, usual):  # the kept one is there still: it has not rested for 2 s
+                caller.send()
+                assert (await caller.answer())[0] == 200
+            assert len(node.node.server._callers) <= 8
+
+    run(scenario())
+
+
+def test_connection_that_rests_is_closed_after_a_while(monkeypatch):
+    """Guards against callers that ask once and keep their connection for good."""
+    monkeypatch.setattr(callers, "IDLE_MOST", 50_000)
+
+    async def scenario():
+        async with Peer(lambda _: reply(200)) as peer, Running(peer) as node:
+            caller = await node.caller()
+            caller.send()
+            assert (await caller.answer())[0] == 200
+            assert await caller.ended() == b""
+            assert not node.node.server._callers
+            assert not node.node.server.idle.since
+
+    run(scenario())
+
+
+def test_timer_that_is_called_off_after_it_was_set_anew_does_nothing():
+    """Guards against a limit for connecting that ends the connection later on."""
+
+    class Loop:
+        calls: list = []
+
+        def call_later(self, delay, what):
+            self.calls.append(what)
+
+    loop, fired = Loop(), []
+    clock = Clock(loop)
+    timer = clock.call_at(clock.now() + 50_000_000, lambda: fired.append(1))
+    loop.calls[0]()
+    timer.cancel()
+    clock._offset += 50_000_000
+    loop.calls[1]()
+    assert not fired
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,7 +9,7 @@
 
 from topazwall.interface import Result
 from topazwall.net.clock import Clock
-from topazwall.net.upstream import Attempt, Pool, Reply
+from topazwall.net.upstream import SETTLE, Attempt, Pool, Reply
 
 LONG = 60_000_000
 GET = b"GET /api HTTP/1.1\r\nx-request-id: 1\r\n\r\n"
@@ -150,7 +150,9 @@
     async def scenario():
         async with Peer(lambda _: reply(200)) as peer:
             bench = Bench(peer.port)
-            assert [await bench.result() for _ in range(3)] == [Result.OK] * 3
+            for _ in range(3):
+                assert await bench.result() == Result.OK
+                await asyncio.sleep(2 * SETTLE / 1e6)
             assert peer.connections == 1
 
     run(scenario())
@@ -167,8 +169,9 @@
     run(scenario())
 
 
-def test_kept_connection_that_the_server_has_just_closed_is_no_reset():
+def test_kept_connection_that_the_server_has_just_closed_is_no_reset(monkeypatch):
     """The loop has not read the end yet, but nothing may be written to that connection."""
+    monkeypatch.setattr("topazwall.net.upstream.SETTLE", 0)
 
     async def scenario():
         with listening() as listener:
@@ -287,3 +290,62 @@
             bench.pool.close()
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("said", "expected"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nabc", Result.RESET),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nabc", Result.RESET),
+        (b"HTTP/1.1 200 OK\r\nX-Endless: ", Result.RESET),
+        (b"HTTP/1.1 200 OK\r\n\r\nabc", Result.RESET),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", Result.RESET),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", Result.RESET),
+        (b"HTTP/1.1 103 Early\r\n\r\n" * 5_000, Result.RESET),
+        (b"HTTP/1.1 103 Early\r\nContent-Length: 7\r\n\r\n" + reply(200, b"car"), Result.OK),
+    ],
+)
+def test_spoilt_answer_ends_long_before_its_time(said, expected):
+    """Guards against waiting to a request's end for an answer that will never be whole."""
+
+    async def scenario():
+        async with Peer(lambda _: said) as peer:
+            assert await Bench(peer.port).result(timeout=1000 * LONG) == expected
+
+    run(scenario())
+
+
+def test_answer_before_the_request_is_written_serves_nobody():
+    """It is none to this request, which has not run."""
+
+    async def scenario():
+        with listening() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            _, end = Bench(listener.getsockname()[1]).send(GET[:-2] + b"\r\n" + b"x" * 8_000_000)
+            with await accept(listener) as sock:
+                sock.sendall(reply(200, b"early"))
+                assert (await soon(end)).result == Result.CONNECT_FAILED
+
+    run(scenario())
+
+
+def test_second_copy_right_behind_an_answer_serves_nobody(monkeypatch):
+    """Guards against a connection that is used again before what comes behind its answer could show."""
+    monkeypatch.setattr("topazwall.net.upstream.SETTLE", LONG)
+
+    async def scenario():
+        with listening() as listener:
+            bench = Bench(listener.getsockname()[1])
+            _, first = bench.send()
+            with await accept(listener) as one:
+                assert one.recv(1000) == GET
+                one.sendall(reply(200, b"first"))
+                assert (await soon(first)).body == b"first"
+                _, second = bench.send()
+                one.sendall(reply(200, b"first"))
+                with await accept(listener) as two:
+                    assert two.recv(1000) == GET
+                    two.sendall(reply(200, b"second"))
+                    assert (await soon(second)).body == b"second"
+
+    run(scenario())
--- a/topazwall/net/node.py
+++ b/topazwall/net/node.py
@@ -62,7 +62,9 @@
         self.settings, self.clock, self.config = settings, Clock(loop), config
         self.balancer = Balancer(settings, config.seed)
         self.classes = {c.name: c for c in settings.classes}
+        self.tenants = {t.name for t in settings.tenants}
         self.requests: dict[int, Request] = {}
+        self.open: set[bytes] = set()  # their ids
         self.addresses: dict[str, tuple[Address, api.ListedServer]] = {}
         self.count = 0
         self._events: deque[api.Event] = deque()
@@ -156,6 +158,10 @@
         """Whether there is such a class."""
         return klass in self.classes
 
+    def has_open(self, name: bytes) -> bool:
+        """Whether a request with this id is open: owed an answer, or with an attempt out."""
+        return name in self.open
+
     def take(self, request: Request) -> None:
         """A request was taken: it is the module's until its one answer."""
         klass = request.text(b"x-priority-class")
@@ -167,6 +173,7 @@
         self.count += 1
         request.id = self.count
         self.requests[request.id] = request
+        self.open.add(request.named[b"x-request-id"])
         # The module ends each request before this; it guards against one that it has forgotten.
         request.overdue = self.clock.call_at(max(due, now + 1), lambda: self._overdue(request))
         self.post(
@@ -174,13 +181,18 @@
                 request.id,
                 klass,
                 max(0, due - now),
-                request.text(b"x-tenant-id"),
+                self._tenant(request),
                 request.named.get(b"x-retried") == b"1",
                 request.text(b"x-route-key"),
                 self._work(request),
             )
         )
 
+    def _tenant(self, request: Request) -> str:
+        """The tenant, if the settings know it: what is kept by tenant must not grow with each name."""
+        name = request.text(b"x-tenant-id")
+        return name if name in self.tenants else ""
+
     @staticmethod
     def _work(request: Request) -> int:
         cost = request.text(b"x-cost")
@@ -284,6 +296,11 @@
         if reply.result == api.Result.OK and not request.answered:
             headers = [(name, value) for name, value in reply.headers if name not in HOP]
             request.caller.answer(request, 200, headers, reply.body)
+        result = reply.result
+        if result == api.Result.ERROR and 400 <= reply.status < 500:
+            # The server has no use for this request; no other will have, and it is no fault of the server.
+            request.caller.answer(request, reply.status, [], b"")
+            result = api.Result.NOT_SENT
         if request.answered:
             self._forget(request)
         report = None
@@ -291,9 +308,7 @@
             text = dict(reply.headers).get(b"x-server-load")
             report = parse_report(text.decode("latin-1")) if text else None
         latency = self.clock.now() - sent
-        self.post(
-            api.AttemptEnded(request.id, number, server, reply.result, latency, request.answered, report)
-        )
+        self.post(api.AttemptEnded(request.id, number, server, result, latency, request.answered, report))
 
     def _finish(self, number: int, status: int, retry_after: int = 0) -> None:
         """The final answer of a request that no server served, if it is still owed."""
@@ -316,8 +331,8 @@
         if request.overdue is not None:
             request.overdue.cancel()
             request.overdue = None
-        if request.attempt is None:
-            self.requests.pop(request.id, None)
+        if request.attempt is None and self.requests.pop(request.id, None) is not None:
+            self.open.discard(request.named[b"x-request-id"])
 
     def _cancel(self, action: api.Cancel) -> None:
         request = self.requests.get(action.request)
--- a/topazwall/net/server.py
+++ b/topazwall/net/server.py
@@ -12,17 +12,25 @@
 
 import httptools
 
-from topazwall.net.clock import Clock
+from topazwall.net.clock import Clock, Timer
 from topazwall.net.config import Address
-from topazwall.net.upstream import MAX_BODY, MAX_HEAD, Headers
+from topazwall.net.upstream import MAX_BODY, MAX_HEAD, Headers, odd_encoding, too_long
 
 log = logging.getLogger(__name__)
 
 READY = b"/-/ready"
 BACKLOG = 1024
 TURNED_AWAY = 32  # connections past the limit that are still told so, before accepting stops
+ACCEPTED = 16  # connections taken in one turn of the loop
 PIPELINED = 16  # requests that may wait on one connection before reading stops
-LINGER_S = 1.0  # how long a caller that sent what can't be read may go on before it is cut off
+PIPELINED_MOST = 64  # and those that are taken of what one read has brought
+READ = 64 * 1024
+# How long a caller is awaited: with its first request, with the rest of one that has begun, with reading its
+# answers, or with ending what it still writes after the last of them.
+PATIENCE = 2_000_000
+IDLE_MOST = 15_000_000  # how long a connection may rest between requests while there is room
+IDLE_LEAST = 2_100_000  # and where there is none; it may not be closed before 2 s
+GRACE = 20_000  # how long a caller that was accepted may say nothing before it makes room for another
 CHANGEOVER = 500_000  # new connections go on coming for 0.2 to 0.4 s after SIGTERM
 SWEEP = 100_000  # after the changeover, for callers that it let in last
 # SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
@@ -35,8 +43,15 @@
     b"content-length", b"expect", b"x-timeout", b"x-server-load",
 })  # fmt: skip
 
+# What requests are told apart and decided by: said twice, two readers could each take another one for it.
+ONCE = frozenset({
+    b"host", b"content-length", b"transfer-encoding", b"x-request-id", b"x-priority-class", b"x-tenant-id",
+    b"x-route-key", b"x-timeout", b"x-retried", b"x-cost", b"idempotency-key",
+})  # fmt: skip
+
 _REASON = {
-    200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 413: b"Content Too Large",
+    200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict",
+    413: b"Content Too Large",
     431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
     503: b"Service Unavailable",
 }  # fmt: skip
@@ -58,7 +73,7 @@
         self.answered = False  # nothing more is owed
         self.attempts = 0  # how many were made
         self.attempt: Any = None
-        self.overdue: asyncio.TimerHandle | None = None
+        self.overdue: Timer | None = None
 
     def text(self, name: bytes) -> str:
         """A header as text; empty if it is not there."""
@@ -74,6 +89,9 @@
     def knows(self, klass: str) -> bool:
         """Whether there is such a class of requests."""
 
+    def has_open(self, name: bytes) -> bool:
+        """Whether a request with this id is open."""
+
     def take(self, request: Request) -> None:
         """Take a request over; it is owed one answer."""
 
@@ -97,8 +115,15 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-class Caller(asyncio.Protocol):
-    """One caller's connection: one request at a time, further ones wait their turn."""
+class Caller(asyncio.BufferedProtocol):
+    """One caller's connection: one request at a time, further ones wait their turn.
+
+    It is always in one of four states: awaited (with a first byte, the rest of a request, or the reading of
+    answers), busy with a request, idle, or ending, when nothing more is said; all but the second have limits.
+    """
+
+    __slots__ = ("server", "excess", "transport", "current", "pending", "fed", "begun", "in_head", "broken",
+                 "ending", "blocked", "paused", "parser", "url", "headers", "body", "size")  # fmt: skip
 
     def __init__(self, server: Server, excess: bool) -> None:
         self.server, self.excess = server, excess
@@ -106,8 +131,10 @@
         self.current: Request | None = None
         self.pending: deque[Request] = deque()
         self.fed = 0  # bytes of a request that is not whole yet
+        self.begun = False
+        self.in_head = True
         self.broken = 0  # the status that ends this connection once all that was taken is answered
-        self.blocked = self.paused = False
+        self.ending = self.blocked = self.paused = False
         self.parser: Any = httptools.HttpRequestParser(self)
         self._begin()
 
@@ -120,14 +147,16 @@
     # ---- asyncio's calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the connection."""
+        """Take the connection, unless it has had to make room already."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self.server.rests(self)
+        if self.ending:
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell that the caller is gone, if it was still owed an answer."""
         self.transport = None
+        self.ending = True
         self.pending.clear()
         request, self.current = self.current, None
         self.server.lost(self)
@@ -135,49 +164,77 @@
             request.answered = True
             self.server.taker.left(request)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """One buffer for all: what was read is looked at before anything else is, and megabytes cost none."""
+        return self.server.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Read requests; what can't be read ends the connection once earlier ones are answered."""
-        if self.broken:
-            return
-        taken, self.fed = len(self.pending), self.fed + len(data)
+        if self.broken or self.ending:
+            return  # read and dropped: see _write
+        taken, self.fed = len(self.pending), self.fed + nbytes
         try:
-            self.parser.feed_data(data)
+            self.parser.feed_data(self.server.buffer[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):  # upgrades are not served
-            self.broken = self.broken or 400
+            self._break(400)
         if len(self.pending) > taken:
             self.fed = 0
-        elif self.fed > MAX_BODY + 2 * MAX_HEAD:
-            self.broken = self.broken or 431
+            if not self.blocked:
+                self.server.awaited.remove(self)
+        elif self.fed > (MAX_HEAD if self.in_head else MAX_BODY + 2 * MAX_HEAD):
+            self._break(431)
+        if self.unfinished() and not self.broken:
+            self.server.idle.remove(self)
+            self.server.awaited.add(self)
         self._proceed()
         if len(self.pending) >= PIPELINED and self.transport is not None and not self.paused:
             self.paused = True
             self.transport.pause_reading()
 
     def pause_writing(self) -> None:
-        """Start nothing more for a caller that does not read its answers."""
+        """Start nothing more for a caller that does not read its answers; it is awaited."""
         self.blocked = True
+        self.server.awaited.add(self)
 
     def resume_writing(self) -> None:
         """Go on."""
         self.blocked = False
-        self._proceed()
+        if not self.ending:
+            self.server.awaited.remove(self)
+            self._proceed()
 
     # ---- the parser's calls
 
+    def on_message_begin(self) -> None:
+        """See that a request has begun."""
+        self.begun = True
+
     def on_url(self, url: bytes) -> None:
         """Take a part of the request's target."""
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take one header."""
-        self.headers.append((name.lower(), value))
+        """Take one header; a trailer behind the body is none, or it could change what has been looked at."""
+        if self.in_head:
+            self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Refuse at the head what is too much or can be understood in two ways."""
+        self.in_head = False
+        if len(self.url) + sum(len(n) + len(v) for n, v in self.headers) > MAX_HEAD:
+            return self._break(431)
+        names = [name for name, _ in self.headers if name in ONCE]
+        if len(names) > len(set(names)) or odd_encoding(self.headers):
+            self._break(400)
+        elif too_long(self.headers):
+            self._break(413)
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body, within the bound."""
         self.size += len(data)
         if self.size > MAX_BODY:
-            self.broken = self.broken or 413
-        else:
+            self._break(413)
+        elif not self.broken:
             self.body.append(data)
 
     def on_message_complete(self) -> None:
@@ -186,20 +243,27 @@
         request.keep_alive = bool(self.parser.should_keep_alive())
         request.taken = self.server.clock.now()
         self._begin()
+        self.begun, self.in_head = False, True
+        if len(self.pending) >= PIPELINED_MOST:
+            self._break(503)
         if not self.broken:
             self.pending.append(request)
 
     # ---- answers
 
+    def _break(self, status: int) -> None:
+        """Read nothing more; the first reason is the one that is told."""
+        self.broken = self.broken or status
+
     def _proceed(self) -> None:
         """Start the next request, or end the connection, if nothing is out."""
-        while self.current is None and not self.blocked and self.pending and self.transport is not None:
+        while self.current is None and not self.blocked and self.pending and not self.ending:
             self.current = self.pending.popleft()
-            self.server.stirs(self)
+            self.server.idle.remove(self)
             self.server.handle(self.current)
-        if self.current is None and not self.pending and self.transport is not None and self.broken:
+        if self.current is None and not self.pending and not self.ending and self.broken:
             self._write(self.broken, [], b"", close=True)
-        if self.paused and not self.pending and self.transport is not None and not self.broken:
+        if self.paused and not self.pending and self.transport is not None:
             self.paused = False
             self.transport.resume_reading()
 
@@ -209,40 +273,128 @@
             return
         request.answered = True
         self.current = None
-        last = status in (400, 405) or self.excess or not request.keep_alive or self.server.leaving
+        refused = 400 <= status < 500 and status != 429
+        last = refused or self.excess or not request.keep_alive or self.server.leaving
         close = last and not (self.pending and request.keep_alive)
         self._write(status, headers, body, close)
-        if self.transport is not None:
-            self.server.rests(self)
-            if not close and self.pending:
-                self.server.soon(self._proceed)  # not from in here: a long pipeline would nest as deep
-            elif self.broken:
-                self._proceed()
+        if self.ending:
+            return
+        if self.pending:
+            self.server.soon(self._proceed)  # not from in here: a long pipeline would nest as deep
+        elif self.broken:
+            self._proceed()
+        elif not self.unfinished():
+            self.server.idle.add(self)
 
     def _write(self, status: int, headers: Headers, body: bytes, close: bool) -> None:
-        if self.transport is None:
+        if self.transport is None or self.ending:
             return
         self.transport.write(render(status, headers, body, close))
         if close:
-            transport, self.transport = self.transport, None
-            self.pending.clear()
-            if self.broken:
+            self._end()
+            if self.broken or status != 200:
                 # Closing on bytes that were not read resets the connection, and takes the answer along:
                 # what the caller still writes is read and dropped for a while.
-                transport.write_eof()
-                self.server.loop.call_later(LINGER_S, transport.close)
+                self.transport.write_eof()
             else:
-                self.broken = status
-                transport.close()
+                self.transport.close()
+
+    def _end(self) -> None:
+        """Say nothing more; one that reads nothing would keep even a closed connection, and is awaited."""
+        self.ending = True
+        self.pending.clear()
+        self.server.idle.remove(self)
+        self.server.awaited.remove(self)
+        self.server.awaited.add(self)
+
+    def unfinished(self) -> bool:
+        """Whether a request has begun and is not whole."""
+        return self.begun or self.fed > 0
 
     def resting(self) -> bool:
         """Whether nothing is owed and nothing has begun on this connection."""
-        return self.current is None and not self.pending and not self.fed
+        return self.current is None and not self.pending and not self.unfinished()
+
+    def owed(self) -> bool:
+        """Whether a request was taken that has no answer yet."""
+        return self.current is not None or bool(self.pending)
+
+    def expire(self) -> None:
+        """Give up on a caller that was awaited for long enough."""
+        if self.ending or self.blocked:
+            self.abort()
+        elif self.owed():
+            self._break(408)  # told behind the answers that are owed
+        elif self.unfinished():
+            self._break(408)
+            self._proceed()
+        else:
+            self.close()
 
     def close(self) -> None:
         """Close between requests."""
+        if not self.ending:
+            self._end()
+            if self.transport is not None:
+                self.transport.close()
+
+    def abort(self) -> None:
+        """Close now, whatever is still unread or unsent."""
+        self.ending = True
         if self.transport is not None:
-            self.transport.close()
+            self.transport.abort()
+
+
+class Ages:
+    """Callers by how long they have been in one state, oldest first, with one timer for all of them.
+
+    All in here have the same limit, so that the order in which they came is the order in which they are due.
+    """
+
+    def __init__(self, clock: Clock, limit: int, expire: Callable[[Caller], None]) -> None:
+        self.clock, self.limit, self.expire = clock, limit, expire
+        self.since: dict[Caller, int] = {}
+        self.timer: Timer | None = None
+
+    def add(self, caller: Caller) -> None:
+        """Count from now; one that is in here already goes on counting from then."""
+        self.since.setdefault(caller, self.clock.now())
+        if self.timer is None:
+            self._arm()
+
+    def remove(self, caller: Caller) -> None:
+        """Forget one, if it is in here."""
+        self.since.pop(caller, None)
+
+    def oldest(self, age: int) -> Caller | None:
+        """The one that is owed nothing and has been in here longest, if that is as long."""
+        now = self.clock.now()
+        for caller, since in self.since.items():
+            if since + age > now:
+                return None
+            if not caller.owed():
+                return caller
+        return None
+
+    def _arm(self) -> None:
+        first = next(iter(self.since.values()), None)
+        if first is not None:
+            self.timer = self.clock.call_at(first + self.limit, self._due)
+
+    def _due(self) -> None:
+        self.timer = None
+        now = self.clock.now()
+        while (caller := next(iter(self.since), None)) is not None and self.since[caller] + self.limit <= now:
+            del self.since[caller]
+            self.expire(caller)
+        if self.timer is None:
+            self._arm()
+
+    def stop(self) -> None:
+        """Let nothing come due any more."""
+        self.since.clear()
+        if self.timer is not None:
+            self.timer.cancel()
 
 
 class Server:
@@ -255,7 +407,10 @@
         self.leaving = False
         self.soon: Callable[[Callable[[], None]], object] = loop.call_soon
         self._callers: set[Caller] = set()
-        self._idle: dict[Caller, None] = {}  # longest idle first
+        self.awaited = Ages(clock, PATIENCE, Caller.expire)
+        self.idle = Ages(clock, IDLE_MOST, Caller.close)
+        self.buffer = memoryview(bytearray(READ))
+        self._again: Timer | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._accepting = False
         self._ended: asyncio.Future[None] | None = None
@@ -281,11 +436,17 @@
             self.loop.remove_reader(self._sock)
 
     def _accept(self) -> None:
-        """Take what waits.  Past the bound idle callers go, a few are told, and the rest wait outside."""
-        while True:
-            if len(self._callers) >= self.most + TURNED_AWAY:
-                log.warning("%d callers: accepting stops", len(self._callers))
-                return self._stop()
+        """Take what waits, a few in a turn so that what they say is read in between.
+
+        Past the bound others make room; where none can, a few more are told, and the rest wait outside.
+        """
+        for _ in range(ACCEPTED):
+            if len(self._callers) >= self.most and not self._make_room():
+                if self.awaited.since and self._wait_for_room():
+                    return
+                if len(self._callers) >= self.most + TURNED_AWAY:
+                    log.warning("%d callers: accepting stops", len(self._callers))
+                    return self._stop()
             try:
                 sock, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -295,10 +456,9 @@
                 return self._stop() if self._callers else None
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if len(self._callers) >= self.most:
-                self._close_one_idle()
             caller = Caller(self, len(self._callers) >= self.most)
             self._callers.add(caller)
+            self.awaited.add(caller)
             task = self.loop.create_task(self._attach(caller, sock))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -311,26 +471,38 @@
             sock.close()
             self.lost(caller)
 
-    def _close_one_idle(self) -> None:
-        for caller in self._idle:
-            if caller.resting():
-                self._callers.discard(caller)  # its place is free at once, its descriptor is from the reserve
-                return caller.close()
+    def _make_room(self) -> bool:
+        """Part with a caller that is owed nothing: one that is awaited in vain before one that only rests."""
+        caller = self.awaited.oldest(GRACE) or self.idle.oldest(IDLE_LEAST)
+        if caller is None:
+            return False
+        self._remove(caller)  # its place is free at once, its descriptor is from the reserve
+        caller.abort()
+        return True
+
+    def _wait_for_room(self) -> bool:
+        """Accept nothing until the caller that is awaited longest has had its grace."""
+        if self._ended is not None or all(c.owed() for c in self.awaited.since):
+            return False
+        self._stop()
+        if self._again is None:
+            self._again = self.clock.call_at(self.clock.now() + GRACE, self._accept_again)
+        return True
 
-    def rests(self, caller: Caller) -> None:
-        """A caller is owed nothing."""
-        if caller.current is None:
-            self._idle[caller] = None
+    def _accept_again(self) -> None:
+        self._again = None
+        if self._ended is None:
+            self.start()
 
-    def stirs(self, caller: Caller) -> None:
-        """A caller has a request out."""
-        self._idle.pop(caller, None)
+    def _remove(self, caller: Caller) -> None:
+        self._callers.discard(caller)
+        self.awaited.remove(caller)
+        self.idle.remove(caller)
 
     def lost(self, caller: Caller) -> None:
         """A connection has ended."""
-        self._callers.discard(caller)
-        self._idle.pop(caller, None)
-        if len(self._callers) < self.most + TURNED_AWAY and not self._ended:
+        self._remove(caller)
+        if len(self._callers) < self.most + TURNED_AWAY and not self._ended and self._again is None:
             self.start()
         self._check_end()
 
@@ -344,10 +516,14 @@
         left = None if timeout is None else parse_timeout(timeout)
         if request.method in (b"HEAD", b"CONNECT"):
             return caller.answer(request, 405, [], b"")
-        if not request.named.get(b"x-request-id") or (left is None and timeout is not None):
+        name = request.named.get(b"x-request-id")
+        if not name or (left is None and timeout is not None):
             return caller.answer(request, 400, [], b"X-Request-ID or X-Timeout is missing or malformed\n")
         if not self.taker.knows(request.text(b"x-priority-class")):
             return caller.answer(request, 400, [], b"unknown X-Priority-Class\n")
+        if self.taker.has_open(name):
+            # Guards against a second copy: it would be out beside the first one, for whoever sent it.
+            return caller.answer(request, 409, [], b"a request with this X-Request-ID is open\n")
         if caller.excess:
             return caller.answer(request, 503, [], b"")
         request.time_left = left
@@ -379,7 +555,7 @@
         self.clock.call_at(self.clock.now() + SWEEP, self._sweep)
 
     def _sweep(self) -> None:
-        for caller in list(self._idle):
+        for caller in [*self.idle.since, *self.awaited.since]:
             if caller.resting():
                 caller.close()
         self._check_end()
@@ -396,5 +572,7 @@
         """Close all."""
         self._stop()
         self._sock.close()
+        self.awaited.stop()
+        self.idle.stop()
         for caller in list(self._callers):
             caller.close()
--- a/topazwall/net/upstream.py
+++ b/topazwall/net/upstream.py
@@ -17,7 +17,7 @@
 import httptools
 
 from topazwall.interface import Result
-from topazwall.net.clock import Clock
+from topazwall.net.clock import Clock, Timer
 from topazwall.net.config import Address
 
 log = logging.getLogger(__name__)
@@ -25,6 +25,10 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 CHUNK = 64 * 1024
+ANSWER_WITHIN = 500_000  # from an answer's first byte to its last: servers write answers whole
+SETTLE = (
+    5_000  # a connection rests so long before it is used again: what comes behind an answer shows by then
+)
 IDLE_PART = 10  # an idle connection is closed this part of the server's limit before the limit
 
 Headers = list[tuple[bytes, bytes]]
@@ -37,6 +41,7 @@
     result: Result
     headers: Headers = field(default_factory=list)
     body: bytes = b""
+    status: int = 0  # 0: there was no answer
 
 
 class Attempt:
@@ -49,7 +54,7 @@
     ) -> None:
         self.server, self.data, self.due, self.on_end, self.number = server, data, due, on_end, number
         self.connection: Connection | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: Timer | None = None
         self.ended = False
 
     def end(self, reply: Reply) -> None:
@@ -84,7 +89,7 @@
         self.connected = self.closed = False
         self.idle_since = 0
         self.unsent = memoryview(b"")
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: Timer | None = None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._new_reply()
 
@@ -93,7 +98,7 @@
         self.headers: Headers = []
         self.body: list[bytes] = []
         self.size = self.status = self.fed = 0
-        self.complete = self.reusable = False
+        self.complete = self.reusable = self.spoilt = self.begun = self.in_body = False
 
     # ---- opening and writing
 
@@ -106,8 +111,7 @@
             self._established()
         elif code == errno.EINPROGRESS:
             if self.pool.connect_timeout:
-                due = self.pool.clock.now() + self.pool.connect_timeout
-                self.timer = self.pool.clock.call_at(due, self._lost)
+                self._limit(self.pool.connect_timeout)
             self.pool.loop.add_writer(self.sock, self._guarded, self._connect_done)
         else:
             # Told in the loop's next round: the caller still holds the attempt as being started.
@@ -115,14 +119,21 @@
 
     def _connect_done(self) -> None:
         self.pool.loop.remove_writer(self.sock)
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        self._stop_timer()
         if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self._lost()
         else:
             self._established()
 
+    def _limit(self, wait: int) -> None:
+        """Take the connection for lost if what it does now takes longer."""
+        self.timer = self.pool.clock.call_at(self.pool.clock.now() + wait, self._lost)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
     def _established(self) -> None:
         self.connected = True
         self.pool.loop.add_reader(self.sock, self._guarded, self._readable)
@@ -195,24 +206,33 @@
                 self._lost()
                 return
             self.reusable = False
-        if self.size > MAX_BODY or self.fed > MAX_BODY + 2 * MAX_HEAD:
+        if self.spoilt or self.fed > (MAX_BODY if self.in_body else 0) + 2 * MAX_HEAD:
             self._lost()
         elif self.complete:
             self._answered()
+        elif self.timer is None and self.begun:
+            # Guards against half an answer: its server says no more, and the request would wait to its end.
+            self._limit(ANSWER_WITHIN)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take one header of the answer."""
-        self.headers.append((name.lower(), value))
+        """Take one header of the answer; what follows it is none of it, and neither are trailers."""
+        if not self.complete and not self.in_body:
+            self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Take the status."""
-        self.status = self.parser.get_status_code()
+        """Take the status; an answer that is too long, or whose end is open to question, is spoilt."""
+        if self.complete:
+            return
+        self.in_body, self.status = True, self.parser.get_status_code()
+        self.spoilt = too_long(self.headers) or odd_encoding(self.headers)
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body, as far as it is one that may be passed on."""
         if not self.complete:
             self.size += len(data)
-            if self.size <= MAX_BODY:
+            if self.size > MAX_BODY:
+                self.spoilt = True
+            else:
                 self.body.append(data)
 
     def on_message_complete(self) -> None:
@@ -220,20 +240,26 @@
         if self.complete:
             self.reusable = False  # bytes that nobody asked for
         elif self.status < 200 and self.status != 101:
-            self.headers = []
+            self.headers, self.begun, self.in_body = [], False, False
         else:
             self.complete = True
             self.reusable = bool(self.parser.should_keep_alive())
 
     def on_message_begin(self) -> None:
-        """See bytes that follow a whole answer."""
+        """See that an answer begins, or bytes that follow a whole one."""
         if self.complete:
             self.reusable = False
+        self.begun = True
 
     def _answered(self) -> None:
+        result = outcome(self.status, self.headers)
+        if self.unsent and result != Result.FULL:
+            return self._lost()  # no answer to this request: its last byte was never written
+        self._stop_timer()
         attempt, self.attempt = self.attempt, None
-        reply = Reply(outcome(self.status, self.headers), self.headers, b"".join(self.body))
+        reply = Reply(result, self.headers, b"".join(self.body), self.status)
         if self.reusable and self.keep and not self.unsent:
+            self.headers, self.body = [], []
             self.pool.rest(self)
         else:
             self.close()
@@ -264,14 +290,23 @@
         if self.closed:
             return
         self.closed = True
-        if self.timer is not None:
-            self.timer.cancel()
+        self._stop_timer()
         self.pool.loop.remove_reader(self.sock)
         self.pool.loop.remove_writer(self.sock)
         self.sock.close()
         self.pool.forget(self)
 
 
+def too_long(headers: Headers) -> bool:
+    """Whether a message says at its head that it is longer than any may be; the parser let digits through."""
+    return any(name == b"content-length" and int(value) > MAX_BODY for name, value in headers)
+
+
+def odd_encoding(headers: Headers) -> bool:
+    """Whether a message is framed in a way that nobody here uses: others may see another end of it."""
+    return any(n == b"transfer-encoding" and v.strip().lower() != b"chunked" for n, v in headers)
+
+
 def outcome(status: int, headers: Headers) -> Result:
     """An answer's outcome, by the protocol's table."""
     if status == 200:
@@ -291,7 +326,7 @@
         self.idle_for = idle - idle // IDLE_PART
         self.targets: dict[str, Target] = {}
         self.count = 0
-        self._sweep: asyncio.TimerHandle | None = None
+        self._sweep: Timer | None = None
 
     def listed(self, servers: Iterable[tuple[str, Address, int]]) -> None:
         """Take the servers that may be sent to; connections to any other, or to an earlier start, go."""
@@ -333,18 +368,31 @@
         if target is None:
             self.loop.call_soon(attempt.end, Reply(Result.CONNECT_FAILED))
             return
-        while target.idle:
-            connection = target.idle.pop()
+        connection = self._rested(target, SETTLE)
+        if connection is None and self.count >= self.most:
+            connection = self._rested(target, 0)
+        if connection is not None:
+            target.idle.remove(connection)
             target.busy.add(connection)
-            if not connection.stale():
-                connection.use(attempt)
-                return
-            connection.close()
+            return connection.use(attempt)
         if self.count >= self.most and not self._make_room():
             self.loop.call_soon(attempt.end, Reply(Result.CONNECT_FAILED))
             return
         self._open(target, attempt)
 
+    def _rested(self, target: Target, least: int) -> Connection | None:
+        """The connection that was used last of those that have rested for long enough and are still good.
+
+        Guards against a second copy of an answer, or noise behind it, that is read as the next one's answer.
+        """
+        now = self.clock.now()
+        for connection in reversed(target.idle.copy()):
+            if connection.idle_since + least <= now:
+                if not connection.stale():
+                    return connection
+                connection.close()
+        return None
+
     def _open(self, target: Target, attempt: Attempt) -> None:
         try:
             connection = Connection(self, target)
