Serve kept connections on while a node ends

The log has n1 ending at 13.0 s and back at 17.8, n0 ending at 16.0: for over a second neither takes a connection. Ruled out: lost reloads (30 told, discovery asked at the new address each time), full places (166 of 384 descriptors). To blame: server._sweep closed every resting connection 0.6 s after SIGTERM, and each answer after SIGTERM said "close", though callers go on using what they have and a node has 3.6 s.

Now they are served on until 0.6 s before the longest deadline, with times cut to the last answer.

--- a/topazwall/net/node.py
+++ b/topazwall/net/node.py
@@ -20,6 +20,7 @@
 RESERVE = 64  # descriptors kept for discovery, the loop, files and callers that are told to go elsewhere
 UPSTREAM_PART = 0.4  # of the other descriptors
 NEVER_CLOSE_IDLE = 60_000_000  # where the settings do not tell the servers' limit
+ENDING_MARGIN = 50_000  # a node that ends has its last answers written so long before it must
 RUN_OUT_DIGITS = 99_999_999  # more microseconds than this are given in milliseconds
 
 # A load report's names on the sockets, and the module's.
@@ -168,6 +169,8 @@
         now = self.clock.now()
         deadline = self.classes[klass].deadline
         due = request.taken + (deadline if request.time_left is None else request.time_left)
+        if request.due_by is not None:
+            due = min(due, request.due_by - ENDING_MARGIN)
         if self.settings.max_open and len(self.requests) >= self.settings.max_open:
             return request.caller.answer(request, 503, [], b"")  # as on the simulator: the module sees none
         self.count += 1
--- a/topazwall/net/server.py
+++ b/topazwall/net/server.py
@@ -32,7 +32,9 @@
 IDLE_LEAST = 2_100_000  # and where there is none; it may not be closed before 2 s
 GRACE = 20_000  # how long a caller that was accepted may say nothing before it makes room for another
 CHANGEOVER = 500_000  # new connections go on coming for 0.2 to 0.4 s after SIGTERM
-SWEEP = 100_000  # after the changeover, for callers that it let in last
+# Callers go on using the connections that they have: for all but so much of the time until the end these are
+# kept and served, or those callers would have nowhere to go while another node is restarted as well.
+CLEARING = 600_000
 # SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
 LONGEST = 3_000_000
 LAST_ANSWER = 600_000
@@ -62,13 +64,14 @@
     """One request that was taken: what it says, and whom it is owed to."""
 
     __slots__ = ("id", "method", "url", "headers", "body", "named", "taken", "time_left", "keep_alive",
-                 "caller", "answered", "attempts", "attempt", "overdue")  # fmt: skip
+                 "caller", "answered", "attempts", "attempt", "overdue", "due_by")  # fmt: skip
 
     def __init__(self, caller: Caller, method: bytes, url: bytes, headers: Headers, body: bytes) -> None:
         self.caller, self.method, self.url, self.headers, self.body = caller, method, url, headers, body
         self.named = dict(headers)
         self.id = self.taken = 0
         self.time_left: int | None = None  # the caller may not tell
+        self.due_by: int | None = None  # when the node itself needs it answered
         self.keep_alive = True
         self.answered = False  # nothing more is owed
         self.attempts = 0  # how many were made
@@ -274,7 +277,7 @@
         request.answered = True
         self.current = None
         refused = 400 <= status < 500 and status != 429
-        last = refused or self.excess or not request.keep_alive or self.server.leaving
+        last = refused or self.excess or not request.keep_alive or self.server.clearing
         close = last and not (self.pending and request.keep_alive)
         self._write(status, headers, body, close)
         if self.ending:
@@ -404,7 +407,8 @@
         self, loop: asyncio.AbstractEventLoop, clock: Clock, taker: Taker, address: Address, most: int
     ) -> None:
         self.loop, self.clock, self.taker, self.most = loop, clock, taker, most
-        self.leaving = False
+        self.leaving = self.clearing = False
+        self.last_answer: int | None = None  # when all that was taken has to be answered, once that is known
         self.soon: Callable[[Callable[[], None]], object] = loop.call_soon
         self._callers: set[Caller] = set()
         self.awaited = Ages(clock, PATIENCE, Caller.expire)
@@ -527,6 +531,8 @@
         if caller.excess:
             return caller.answer(request, 503, [], b"")
         request.time_left = left
+        if self.last_answer is not None:
+            request.due_by = self.last_answer
         try:
             self.taker.take(request)
         except Exception:  # contained: this request has failed, the others go on
@@ -536,25 +542,30 @@
     # ---- the end
 
     async def leave(self, longest: int) -> None:
-        """Accept through the changeover, answer what was taken, close the rest; return when all is done."""
+        """Accept through the changeover, serve who is there for a while, and return when all is answered."""
         self.leaving = True
         self._ended = self.loop.create_future()
+        now, longest = self.clock.now(), min(longest, LONGEST)
+        self.last_answer = now + longest + LAST_ANSWER
         timers = [
-            self.clock.call_at(self.clock.now() + CHANGEOVER, self._end_changeover),
-            self.clock.call_at(self.clock.now() + min(longest, LONGEST) + LAST_ANSWER, self._give_up),
+            self.clock.call_at(now + CHANGEOVER, self._end_changeover),
+            self.clock.call_at(now + max(longest - CLEARING, CHANGEOVER), self._clear),
+            self.clock.call_at(self.last_answer, self._give_up),
         ]
         await self._ended
         for timer in timers:
             timer.cancel()
 
     def _end_changeover(self) -> None:
-        """Take the last that wait outside, then close the door, and soon after what is between requests."""
+        """Take the last that wait outside, then close the door."""
         self._accept()
         self._stop()
         self._sock.close()
-        self.clock.call_at(self.clock.now() + SWEEP, self._sweep)
+        self._check_end()
 
-    def _sweep(self) -> None:
+    def _clear(self) -> None:
+        """Close what is between requests; from now on an answer is the last on its connection."""
+        self.clearing = True
         for caller in [*self.idle.since, *self.awaited.since]:
             if caller.resting():
                 caller.close()
