Forget servers that are gone; tell clients when to come back

Seen by a probe in a test: Balancer.known keeps every id that was ever listed (50 of 50 replaced servers), since on_list only adds. Now a server that is gone is forgotten once no call is out to it; one that only drains is kept.

A refusal now carries Retry-After: the mean latency over the calls out, when the next place is free, spread by the request's number.

--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -7,19 +7,8 @@
 import pytest
 
 from topazwall import interface as api
-from topazwall.choice import (
-    BURST,
-    FLOOR_PER_S,
-    RATIO,
-    SECOND,
-    START_EACH,
-    START_MANY,
-    WINDOW_S,
-    Balancer,
-    Health,
-    RetryBudget,
-    Server,
-)
+from topazwall.budget import FLOOR_PER_S, RATIO, SECOND, WINDOW_S, RetryBudget
+from topazwall.choice import BURST, START_EACH, START_MANY, Balancer, Health, Server
 from topazwall.interface import KEYED, SAFE, UNSAFE, AttemptEnded, ListedServer, Request, Result, ServerList
 
 READ = api.RequestClass("read", 1_000_000, 4_000_000, 1, 0.5, SAFE)
@@ -242,6 +231,38 @@
     assert d.b.servers["s0"].score < 0
 
 
+@pytest.mark.parametrize("out", [False, True])
+def test_servers_that_are_gone_are_forgotten_once_no_call_is_out(out):
+    """Guards against growth on a long day, on which servers are replaced under ever new ids."""
+    d = Driver(servers=0)
+    for i in range(50):
+        d.feed(ServerList([ListedServer(f"new{i}")], whole=i % 2 == 0))
+        sends = [a for a in d.ask() if isinstance(a, api.Send)]
+        if not out:
+            d.end(sends[0], Result.OK)
+        d.feed(ServerList([ListedServer(f"new{i}", api.GONE)], whole=False))
+        if out:
+            assert f"new{i}" in d.b.known
+            d.end(sends[0], Result.OK)
+    assert d.b.known == d.b.servers == {}
+    assert not d.b.subset
+    assert not d.b.spare
+
+
+@pytest.mark.parametrize(("most", "tier"), [(0, 0), (SECOND, 0), (SECOND, 1)])
+def test_refusal_says_when_to_come_back_where_clients_may_be_told(most, tier):
+    d = Driver(servers=2, max_retry_after=most, tier=tier, tiers=2)
+    overload(d, 600, 2_000)
+    d.run_to(d.now + 5 * SECOND)
+    advice = [a.retry_after for a in d.of(api.Refuse)]
+    assert advice
+    if most and not tier:
+        assert all(0 < x <= most for x in advice)
+        assert len(set(advice)) > len(advice) // 4  # not all at once
+    else:
+        assert set(advice) == {0}
+
+
 def test_an_empty_list_holds_requests_and_answers_them_in_time():
     d = Driver(servers=0, entries=[])
     d.ask(left=500_000)
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,6 +1,7 @@
 """The README's example is run as it stands."""
 
 import re
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -14,6 +15,8 @@
 
 def test_module_keeps_its_size():
     lines = (ROOT / "topazwall/choice.py").read_text().splitlines()
+    policy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]
+    assert policy == ["topazwall/choice.py", "topazwall/budget.py"]
     assert sum(1 for line in lines if line.strip()) <= 650
     assert max(map(len, lines)) <= 110
     assert any("interface.py" in line for line in lines[:5])
--- a/topazwall/choice.py
+++ b/topazwall/choice.py
@@ -18,14 +18,10 @@
 from typing import Any
 
 from topazwall import interface as api
-from topazwall.interface import KEYED, NEVER_RAN, SAFE, UNSAFE, UP, Result
+from topazwall.budget import SECOND, RetryBudget
+from topazwall.interface import GONE, KEYED, NEVER_RAN, SAFE, UNSAFE, UP, Result
 
-SECOND = 1_000_000
-
-# The retry budget: retries in the window stay under RATIO x first attempts + FLOOR_PER_S x the window.
-WINDOW_S = 10
-RATIO = 0.2
-FLOOR_PER_S = 0.1  # every copy of every tier has this floor, so it must stay far below a copy's traffic
+GOLDEN = 0.618  # multiples of it spread evenly: advice to clients
 UNSEEN_COST = 0.2  # of a retry, after an attempt that is known not to have run: it did no work
 # Retries wait aim / BACKOFF_SHARE, doubled for each earlier failure, times a random 0.5 to 1.5.
 BACKOFF_SHARE = 100
@@ -45,60 +41,12 @@
 LIFO_AFTER, START_EACH, START_MANY = 0.2, 12.0, 3.5  # of the time to the aim; calls a server at the start
 
 
-class RetryBudget:
-    """First attempts and retries of a sliding window; tenants share what retries it allows."""
-
-    def __init__(self) -> None:
-        self.slots: deque[tuple[int, list[float], dict[str, float]]] = deque()  # second, [firsts, retries]
-        self.firsts = self.retries = 0.0
-        self.by_tenant: dict[str, float] = {}
-
-    def _slot(self, now: int) -> tuple[int, list[float], dict[str, float]]:
-        second = now // SECOND
-        while self.slots and self.slots[0][0] <= second - WINDOW_S:
-            _, (firsts, retries), tenants = self.slots.popleft()
-            self.firsts -= firsts
-            self.retries -= retries
-            for name, n in tenants.items():
-                self.by_tenant[name] -= n
-        if not self.slots or self.slots[-1][0] != second:
-            self.slots.append((second, [0.0, 0.0], {}))
-        return self.slots[-1]
-
-    def first(self, now: int) -> None:
-        """Count a first attempt."""
-        self._slot(now)[1][0] += 1
-        self.firsts += 1
-
-    def left(self, now: int) -> float:
-        """How many retries the window still allows."""
-        self._slot(now)
-        return RATIO * self.firsts + FLOOR_PER_S * WINDOW_S - self.retries
-
-    def take(self, now: int, tenant: str, cost: float) -> bool:
-        """Spend a retry if the budget allows it; a tenant may hold as many as are left for the others."""
-        left, held = self.left(now), self.by_tenant.get(tenant, 0)
-        if left < cost or (tenant and held > 0 and held + cost > left):
-            return False
-        _, counts, tenants = self._slot(now)
-        counts[1] += cost
-        self.retries += cost
-        tenants[tenant] = tenants.get(tenant, 0) + cost
-        self.by_tenant[tenant] = held + cost
-        return True
-
-    def per_second(self, now: int) -> float:
-        """Attempts a second in the window."""
-        self._slot(now)
-        return (self.firsts + self.retries) / max(1.0, now / SECOND - self.slots[0][0])
-
-
 class Server:
     """What this copy knows of one server: what discovery said, own calls out, and how they ended."""
 
     __slots__ = ("id", "zone", "cell", "size", "started", "out", "score", "scored_at", "ejected_until",
                  "eject_for", "last_sent", "tokens", "tokens_at", "cap", "answered", "slowness",
-                 "paced", "queued", "reported")  # fmt: skip
+                 "paced", "queued", "reported", "gone")  # fmt: skip
 
     def __init__(self, entry: api.ListedServer, size: float = 1.0) -> None:
         self.id = entry.id
@@ -110,7 +58,7 @@
 
     def relist(self, entry: api.ListedServer, size: float = 1.0) -> None:
         """Take changed facts over; a server that has restarted starts with a clean record."""
-        self.zone, self.cell, self.size = entry.zone, entry.cell, size
+        self.zone, self.cell, self.size, self.gone = entry.zone, entry.cell, size, False
         if entry.started != self.started:
             self.started = entry.started
             self.score, self.scored_at = SCORE_LOW, 0
@@ -357,7 +305,7 @@
         self.time_share = 1 - settings.tier / (2 * settings.tiers)
         self.latency = {c.name: Latency(c.aim / 5 * self.time_share) for c in settings.classes}
         self.servers: dict[str, Server] = {}  # those that may be sent to
-        self.known: dict[str, Server] = {}  # all that were ever listed
+        self.known: dict[str, Server] = {}  # those, and any that drain or have calls out
         self.subset: list[Server] = []
         self.spare: list[Server] = []
         self.calls: dict[int, Call] = {}
@@ -423,12 +371,12 @@
             server = self.known.setdefault(entry.id, Server(entry, size))
             server.relist(entry, size)
             if entry.state != UP:
-                self.drop(server)
+                self.drop(server, entry.state == GONE)
             elif entry.id not in self.servers:
                 self.servers[entry.id] = server
                 self.spare.append(server)
-        for server in [s for s in self.servers.values() if event.whole and s.id not in listed]:
-            self.drop(server)
+        for server in [s for s in self.known.values() if event.whole and s.id not in listed]:
+            self.drop(server, True)
         part = min(1.0, max(1, len(self.servers)) / max(1, before))  # fewer servers carry less than before
         self.admission.flow, self.admission.limit = self.admission.flow * part, self.admission.limit * part
         share = len(self.servers) / self.settings.instances
@@ -444,10 +392,17 @@
         """Ask discovery for the list and its changes after a while."""
         self.alarm(now, wait, lambda _: self.actions.append(api.Watch()))
 
-    def drop(self, server: Server) -> None:
+    def drop(self, server: Server, gone: bool) -> None:
         """Send nothing more to this server."""
+        server.gone = gone
         if self.servers.pop(server.id, None) is not None:
             (self.subset if server in self.subset else self.spare).remove(server)
+        self.lose(server)
+
+    def lose(self, server: Server) -> None:
+        """Keep nothing of a server that is gone, once no call is out to it: ids are ever new."""
+        if server.gone and not server.out:
+            self.known.pop(server.id, None)
 
     def least(self) -> int:
         """The smallest subset at which all copies together still cover every server about evenly."""
@@ -634,6 +589,7 @@
     def free(self, server: Server, key: tuple[int, int], now: int) -> None:
         """The server is done with a call."""
         del server.out[key]
+        self.lose(server)
         self.admission.count(-1, now)
         self.dispatch(now)
 
@@ -728,9 +684,17 @@
         """The final answer, if still owed: refused where that is a promise we can keep, else failed."""
         if call.id not in self.calls:
             return
-        self.actions.append((api.Refuse if self.safety.may_refuse(call) else api.Fail)(call.id))
+        refused = self.safety.may_refuse(call)
+        self.actions.append(api.Refuse(call.id, self.advice(call)) if refused else api.Fail(call.id))
         self.forget(call)
 
+    def advice(self, call: Call) -> int:
+        """When a client may come back: once a call or so has ended; spread, so that not all come at once."""
+        if not (most := self.settings.max_retry_after) or self.settings.tier:
+            return 0
+        soon = min(most, self.latency[call.klass.name].mean / max(1, self.admission.out))
+        return min(most, max(1000, int(soon * (0.5 + call.id * GOLDEN % 1))))
+
     def forget(self, call: Call, streams: int = -1) -> None:
         """The request is over: what is out for it, but the attempt that streams, is work for nobody."""
         if self.settings.cancel:
