--- a/topazwall/net/node.py
+++ b/topazwall/net/node.py
@@ -20,6 +20,7 @@
 RESERVE = 64  # descriptors kept for discovery, the loop, files and callers that are told to go elsewhere
 UPSTREAM_PART = 0.4  # of the other descriptors
 NEVER_CLOSE_IDLE = 60_000_000  # where the settings do not tell the servers' limit
+NOT_FINAL = (408, 425, 429)  # of 4xx: these say nothing against the request, nor that it has not run
 ENDING_MARGIN = 50_000  # a node that ends has its last answers written so long before it must
 RUN_OUT_DIGITS = 99_999_999  # more microseconds than this are given in milliseconds
 
@@ -300,7 +301,7 @@
             headers = [(name, value) for name, value in reply.headers if name not in HOP]
             request.caller.answer(request, 200, headers, reply.body)
         result = reply.result
-        if result == api.Result.ERROR and 400 <= reply.status < 500:
+        if result == api.Result.ERROR and 400 <= reply.status < 500 and reply.status not in NOT_FINAL:
             # The server has no use for this request; no other will have, and it is no fault of the server.
             request.caller.answer(request, reply.status, [], b"")
             result = api.Result.NOT_SENT
--- a/topazwall/net/upstream.py
+++ b/topazwall/net/upstream.py
@@ -241,6 +241,7 @@
             self.reusable = False  # bytes that nobody asked for
         elif self.status < 200 and self.status != 101:
             self.headers, self.begun, self.in_body = [], False, False
+            self._stop_timer()  # the answer itself may take its time
         else:
             self.complete = True
             self.reusable = bool(self.parser.should_keep_alive())
