Test of the end: read the log to its end before waiting for the process, and knock less often

Seen: one run of the tests in four hung at process.wait() after the node had exited. Ruled out by a probe: the node was gone within 4 s each time. The wait also wants the log's pipe at its end, which the test did not read.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -135,13 +135,15 @@
                 assert (status, body) == (200, b"new")
                 # The door closes after the changeover; those who are there are served on for a while.
                 while await connects(port):
-                    await asyncio.sleep(0.02)
+                    await asyncio.sleep(0.1)
                 late.send(url="/new")
                 assert (await late.answer())[2] == b"new"
                 assert await idle.ended() == b""
                 assert await late.ended() == b""
                 peer.release.set()
                 assert (await caller.answer())[2] == b"held"
+                caller.close()
+                assert b"Traceback" not in await soon(process.stderr.read())
                 assert await soon(process.wait()) == 0
             finally:
                 if process.returncode is None:
