Let more calls out than have been seen to be carried: the first tier's limit was too near

To blame: choice.GAIN. Admission.note sets the limit to gain x the flow of served calls at the least latency; with two nodes and calls that take 1.6 times the least, 1 + 1.6/3 leaves no room, and what is held down is what is seen next. GAIN 1.6 -> 2.4.

--- a/topazwall/choice.py
+++ b/topazwall/choice.py
@@ -34,7 +34,7 @@
 COVER, WIDEN_AT, NARROW_AT = 5, 1.0, 0.25
 REPORT_TRUST, CROSSING = 0.5, 2.0  # of a reported waiting request against an own call; of a server elsewhere
 # Admission: calls out, as a multiple of what carries the highest rate seen at the least latency seen.
-GAIN, SLOWER, ALLOWED = 1.6, 2.0, 0.3
+GAIN, SLOWER, ALLOWED = 2.4, 2.0, 0.3
 LEAST_EACH = 2.0  # never fewer for each server, by this copy's part
 URGENT = 2.0  # times the usual worth for its time: such a call may overdraw; see Admission.open
 BURST, CREDIT = 4.0, 2  # calls: a limit below that holds on average, over so many seconds; see Admission.open
