Keep no connections while places run short; put nobody out for a caller that is not there

A probe in the log, twice a second: 190 of 192 places taken by connections at rest, all younger than 2.1 s, 0 to 4 requests out, the module's limit at 38: so nothing waits in the module, and accepting itself is slow. 25 to 33 times in each half second no room was found and accepting paused for 20 ms. To blame: server._accept paused as soon as one caller was awaited, though 32 more places are in reserve, and made room before it knew that anybody waited outside; each answer kept its connection although no place was left.

Now, past three quarters of the places, an answer is the last on its connection; room is made after a connection was taken; accepting pauses when the reserve is full too. Test: sixty that ask once and stay, eight places.

--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -205,6 +205,23 @@
             for caller in (late, usual):  # the kept one is there still: it has not rested for 2 s
                 caller.send()
                 assert (await caller.answer())[0] == 200
+            assert len(node.node.server._callers) <= 8 + callers.TURNED_AWAY
+
+    run(scenario())
+
+
+def test_many_that_ask_once_and_stay_leave_room_for_others():
+    """Guards against places all taken by connections that rest and may not be closed for 2 s yet."""
+
+    async def scenario():
+        async with Peer(lambda _: reply(200, b"car")) as peer, Running(peer) as node:
+            node.node.server.most = 8
+            for _ in range(60):
+                caller = await node.caller()
+                caller.send()
+                status, headers, body = await caller.answer()
+                assert (status, body) == (200, b"car")
+            assert headers["connection"] == "close"
             assert len(node.node.server._callers) <= 8
 
     run(scenario())
--- a/topazwall/net/server.py
+++ b/topazwall/net/server.py
@@ -21,6 +21,7 @@
 READY = b"/-/ready"
 BACKLOG = 1024
 TURNED_AWAY = 32  # connections past the limit that are still told so, before accepting stops
+CROWDED = 0.75  # of the places: from there on connections are not kept
 ACCEPTED = 16  # connections taken in one turn of the loop
 PIPELINED = 16  # requests that may wait on one connection before reading stops
 PIPELINED_MOST = 64  # and those that are taken of what one read has brought
@@ -277,7 +278,9 @@
         request.answered = True
         self.current = None
         refused = 400 <= status < 500 and status != 429
-        last = refused or self.excess or not request.keep_alive or self.server.clearing
+        last = (
+            refused or self.excess or not request.keep_alive or self.server.clearing or self.server.crowded()
+        )
         close = last and not (self.pending and request.keep_alive)
         self._write(status, headers, body, close)
         if self.ending:
@@ -442,15 +445,15 @@
     def _accept(self) -> None:
         """Take what waits, a few in a turn so that what they say is read in between.
 
-        Past the bound others make room; where none can, a few more are told, and the rest wait outside.
+        Past the bound others make room; where none can yet, a few more are taken all the same, and told to
+        go elsewhere if all others are owed an answer.  The rest wait outside.
         """
         for _ in range(ACCEPTED):
-            if len(self._callers) >= self.most and not self._make_room():
-                if self.awaited.since and self._wait_for_room():
-                    return
-                if len(self._callers) >= self.most + TURNED_AWAY:
+            if len(self._callers) >= self.most + TURNED_AWAY and not self._make_room():
+                if not self._wait_for_room():
                     log.warning("%d callers: accepting stops", len(self._callers))
-                    return self._stop()
+                    self._stop()
+                return
             try:
                 sock, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -460,7 +463,8 @@
                 return self._stop() if self._callers else None
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            caller = Caller(self, len(self._callers) >= self.most)
+            full = len(self._callers) >= self.most and not self._make_room()
+            caller = Caller(self, full and not self.idle.since and not self.awaited.since)
             self._callers.add(caller)
             self.awaited.add(caller)
             task = self.loop.create_task(self._attach(caller, sock))
@@ -484,9 +488,16 @@
         caller.abort()
         return True
 
+    def crowded(self) -> bool:
+        """Whether places run short: then an answer is the last on its connection, which is free at once.
+
+        Guards against hundreds that ask once and stay: none may be put out before it has rested for 2 s.
+        """
+        return len(self._callers) > self.most * CROWDED
+
     def _wait_for_room(self) -> bool:
-        """Accept nothing until the caller that is awaited longest has had its grace."""
-        if self._ended is not None or all(c.owed() for c in self.awaited.since):
+        """Accept nothing for a moment, after which one that is awaited or rests may make room."""
+        if self._ended is not None or not (self.awaited.since or self.idle.since):
             return False
         self._stop()
         if self._again is None:
