Widen the first tier's limit alone; the last tier's is as it was

Only the first tier had been found too tight (Admission.gain: 1 + 1.6/3). Now it has 1.8 there and what it had in the last.

--- a/topazwall/choice.py
+++ b/topazwall/choice.py
@@ -34,7 +34,7 @@
 COVER, WIDEN_AT, NARROW_AT = 5, 1.0, 0.25
 REPORT_TRUST, CROSSING = 0.5, 2.0  # of a reported waiting request against an own call; of a server elsewhere
 # Admission: calls out, as a multiple of what carries the highest rate seen at the least latency seen.
-GAIN, SLOWER, ALLOWED = 2.4, 2.0, 0.3
+GAIN, GAIN_LEAST, SLOWER, ALLOWED = 1.6, 0.8, 2.0, 0.3
 LEAST_EACH = 2.0  # never fewer for each server, by this copy's part
 URGENT = 2.0  # times the usual worth for its time: such a call may overdraw; see Admission.open
 BURST, CREDIT = 4.0, 2  # calls: a limit below that holds on average, over so many seconds; see Admission.open
@@ -187,7 +187,8 @@
         self.slower = 0.5  # latency as a share of what is still well inside the aim
         self.usual = 0.0  # see value
         self.peak, self.hit, self.window = 0, False, 8  # outcomes between two looks; few at the start
-        self.gain = 1 + GAIN / (settings.tiers - settings.tier)  # the next tier's part of a call's time
+        # By the next tier's part of a call's time, and with room for calls that take longer than the least.
+        self.gain = 1 + max(GAIN_LEAST, GAIN / (settings.tiers - settings.tier))
         self.flow = 0.0  # calls out that would carry the highest rate seen at the least latency seen
         self.held: dict[tuple[str, str, bool], deque[Call]] = {}
         self.gap = {
