Rename the package to oakbridge and lay it out by concern

Need: the program is called oakbridge everywhere but in its package, and coming subsystems need room beside the node.

Change: topazwall becomes oakbridge: policy/ (balancer, retry_budget, vocabulary), node/ (net/ before; server.py is downstream.py, the settings' reader has a module of its own), simhost/ (the simulator's adapter). Tests mirror it. deploy/balancer.toml keeps its keys. No shim under the old name.

All tests pass but one that hung once in three runs before the change as well (the end on SIGTERM); it is looked into next.

--- a/topazwall/__main__.py
+++ b/oakbridge/__main__.py
@@ -8,8 +8,8 @@
 import signal
 import sys
 
-from topazwall.net.config import ConfigError, load
-from topazwall.net.node import Node
+from oakbridge.node.config import ConfigError, load
+from oakbridge.node.node import Node
 
 log = logging.getLogger(__name__)
 
@@ -55,10 +55,10 @@
     try:
         asyncio.run(serve())
     except ConfigError as e:
-        print(f"topazwall: {e}", file=sys.stderr)
+        print(f"oakbridge: {e}", file=sys.stderr)
         return 2
     except OSError as e:
-        print(f"topazwall: can't listen: {e}", file=sys.stderr)
+        print(f"oakbridge: can't listen: {e}", file=sys.stderr)
         return 1
     return 0
 
--- a/topazwall/net/config.py
+++ b/oakbridge/node/config.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 from typing import Any
 
-from topazwall import interface as api
-from topazwall.drill import read_settings
+from oakbridge.node.settings import read_settings
+from oakbridge.policy import vocabulary as api
 
 Address = tuple[str, int]
 Raw = dict[str, Any]
--- a/topazwall/net/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -11,8 +11,8 @@
 
 import httptools
 
-from topazwall import interface as api
-from topazwall.net.config import Address, ConfigError, parse_address
+from oakbridge.node.config import Address, ConfigError, parse_address
+from oakbridge.policy import vocabulary as api
 
 log = logging.getLogger(__name__)
 
--- a/topazwall/net/server.py
+++ b/oakbridge/node/downstream.py
@@ -12,9 +12,9 @@
 
 import httptools
 
-from topazwall.net.clock import Clock, Timer
-from topazwall.net.config import Address
-from topazwall.net.upstream import MAX_BODY, MAX_HEAD, Headers, odd_encoding, too_long
+from oakbridge.node.clock import Clock, Timer
+from oakbridge.node.config import Address
+from oakbridge.node.upstream import MAX_BODY, MAX_HEAD, Headers, odd_encoding, too_long
 
 log = logging.getLogger(__name__)
 
--- a/topazwall/net/node.py
+++ b/oakbridge/node/node.py
@@ -7,13 +7,13 @@
 import math
 from collections import deque
 
-from topazwall import interface as api
-from topazwall.choice import Balancer
-from topazwall.net.clock import Clock
-from topazwall.net.config import Address, Config, ConfigError
-from topazwall.net.discovery import BadList, Discovery, Listing, parse
-from topazwall.net.server import HOP, Request, Server
-from topazwall.net.upstream import Attempt, Pool, Reply
+from oakbridge.node.clock import Clock
+from oakbridge.node.config import Address, Config, ConfigError
+from oakbridge.node.discovery import BadList, Discovery, Listing, parse
+from oakbridge.node.downstream import HOP, Request, Server
+from oakbridge.node.upstream import Attempt, Pool, Reply
+from oakbridge.policy import vocabulary as api
+from oakbridge.policy.balancer import Balancer
 
 log = logging.getLogger(__name__)
 
--- a/topazwall/net/upstream.py
+++ b/oakbridge/node/upstream.py
@@ -16,9 +16,9 @@
 
 import httptools
 
-from topazwall.interface import Result
-from topazwall.net.clock import Clock, Timer
-from topazwall.net.config import Address
+from oakbridge.node.clock import Clock, Timer
+from oakbridge.node.config import Address
+from oakbridge.policy.vocabulary import Result
 
 log = logging.getLogger(__name__)
 
--- a/topazwall/choice.py
+++ b/oakbridge/policy/balancer.py
@@ -1,4 +1,4 @@
-"""All decisions of the balancer.  Its settings, events and actions are in ``interface.py``.
+"""All decisions of the balancer.  Its settings, events and actions are in ``vocabulary.py``.
 
 One :class:`Balancer` serves one outbound copy: the node in front of the first tier, or the copy inside a
 server that calls the next tier.  It is told the time and what happened, and answers with actions.
@@ -17,9 +17,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from topazwall import interface as api
-from topazwall.budget import SECOND, RetryBudget
-from topazwall.interface import GONE, KEYED, NEVER_RAN, SAFE, UNSAFE, UP, Result
+from oakbridge.policy import vocabulary as api
+from oakbridge.policy.retry_budget import SECOND, RetryBudget
+from oakbridge.policy.vocabulary import GONE, KEYED, NEVER_RAN, SAFE, UNSAFE, UP, Result
 
 GOLDEN = 0.618  # multiples of it spread evenly: advice to clients
 UNSEEN_COST = 0.2  # of a retry, after an attempt that is known not to have run: it did no work
--- a/topazwall/interface.py
+++ b/oakbridge/policy/vocabulary.py
@@ -1,4 +1,4 @@
-"""What goes into a :class:`topazwall.choice.Balancer` and what comes out of it.
+"""What goes into a :class:`oakbridge.policy.balancer.Balancer` and what comes out of it.
 
 All times are whole microseconds on one clock that only moves forward.  Events go in with the time at which
 they happened; each call returns the actions to carry out at that same instant, in order.
--- /dev/null
+++ b/oakbridge/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts instances of the decisions on the simulator's wire."""
--- /dev/null
+++ b/oakbridge/simhost/__main__.py
@@ -0,0 +1,8 @@
+"""``python -m oakbridge.simhost``: the simulator's wire on standard input and output."""
+
+import sys
+
+from oakbridge.simhost.adapter import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_rude.py
+++ b/tests/node/test_downstream.py
@@ -6,8 +6,8 @@
 import pytest
 from peers import Peer, Running, reply, run, soon
 
-from topazwall.net import server as callers
-from topazwall.net.clock import Clock
+from oakbridge.node import downstream as callers
+from oakbridge.node.clock import Clock
 
 HEAD = b"POST /api HTTP/1.1\r\nHost: a\r\nX-Request-ID: rude\r\nX-Priority-Class: look\r\n"
 
--- a/tests/test_node.py
+++ b/tests/node/test_node.py
@@ -6,11 +6,11 @@
 import pytest
 from peers import Peer, Running, endpoint, listing, reply, run, soon
 
-from topazwall import interface as api
-from topazwall.net.discovery import BadList, parse
-from topazwall.net.node import parse_report
-from topazwall.net.server import parse_timeout
-from topazwall.net.upstream import SETTLE
+from oakbridge.node.discovery import BadList, parse
+from oakbridge.node.downstream import parse_timeout
+from oakbridge.node.node import parse_report
+from oakbridge.node.upstream import SETTLE
+from oakbridge.policy import vocabulary as api
 
 
 def test_request_and_answer_go_through_unchanged():
@@ -358,7 +358,7 @@
 
 def test_callers_are_bounded(monkeypatch):
     """At the bound the caller that is idle longest goes; with none idle, one more is told to go elsewhere."""
-    monkeypatch.setattr("topazwall.net.server.IDLE_LEAST", 0)
+    monkeypatch.setattr("oakbridge.node.downstream.IDLE_LEAST", 0)
 
     async def scenario():
         async with Peer(lambda seen: None) as peer, Running(peer) as node:
@@ -418,8 +418,8 @@
 
 def test_end_fails_what_is_still_out_and_closes_late_silent_callers(monkeypatch):
     """Guards against SIGKILL finding a request unanswered, and against waiting for silent callers."""
-    monkeypatch.setattr("topazwall.net.server.LONGEST", 500_000)
-    monkeypatch.setattr("topazwall.net.server.CHANGEOVER", 100_000)
+    monkeypatch.setattr("oakbridge.node.downstream.LONGEST", 500_000)
+    monkeypatch.setattr("oakbridge.node.downstream.CHANGEOVER", 100_000)
 
     async def scenario():
         async with Peer(lambda _: None) as peer, Running(peer) as node:
--- a/tests/test_process.py
+++ b/tests/node/test_process.py
@@ -12,11 +12,11 @@
 import pytest
 from peers import LIMIT, SETTINGS, Caller, Peer, Registry, endpoint, listing, reply, run, soon
 
-from topazwall.net.clock import Clock
-from topazwall.net.config import ConfigError, load
+from oakbridge.node.clock import Clock
+from oakbridge.node.config import ConfigError, load
 
-ROOT = Path(__file__).parent.parent
-COMMAND = [sys.executable, "-m", "topazwall"]
+ROOT = Path(__file__).parents[2]
+COMMAND = [sys.executable, "-m", "oakbridge"]
 
 
 def raw_config(**changes) -> dict:
@@ -70,7 +70,7 @@
     done = subprocess.run(COMMAND, cwd=ROOT, env=environment, capture_output=True, text=True, timeout=LIMIT)
     assert done.returncode != 0
     assert len(done.stderr.splitlines()) == 1
-    assert done.stderr.startswith("topazwall: ")
+    assert done.stderr.startswith("oakbridge: ")
 
 
 def test_timer_never_fires_early():
--- a/tests/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -7,9 +7,9 @@
 import pytest
 from peers import Peer, reply, run, silent_listener, soon
 
-from topazwall.interface import Result
-from topazwall.net.clock import Clock
-from topazwall.net.upstream import SETTLE, Attempt, Pool, Reply
+from oakbridge.node.clock import Clock
+from oakbridge.node.upstream import SETTLE, Attempt, Pool, Reply
+from oakbridge.policy.vocabulary import Result
 
 LONG = 60_000_000
 GET = b"GET /api HTTP/1.1\r\nx-request-id: 1\r\n\r\n"
@@ -171,7 +171,7 @@
 
 def test_kept_connection_that_the_server_has_just_closed_is_no_reset(monkeypatch):
     """The loop has not read the end yet, but nothing may be written to that connection."""
-    monkeypatch.setattr("topazwall.net.upstream.SETTLE", 0)
+    monkeypatch.setattr("oakbridge.node.upstream.SETTLE", 0)
 
     async def scenario():
         with listening() as listener:
@@ -331,7 +331,7 @@
 
 def test_second_copy_right_behind_an_answer_serves_nobody(monkeypatch):
     """Guards against a connection that is used again before what comes behind its answer could show."""
-    monkeypatch.setattr("topazwall.net.upstream.SETTLE", LONG)
+    monkeypatch.setattr("oakbridge.node.upstream.SETTLE", LONG)
 
     async def scenario():
         with listening() as listener:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from topazwall.net.config import Config
-from topazwall.net.node import Node
+from oakbridge.node.config import Config
+from oakbridge.node.node import Node
 
 IDS = itertools.count(0x9B1F03AA)  # a request's id is new each time
 LIMIT = 30.0  # seconds for anything that must happen; nothing is expected to take a tenth of it
@@ -147,7 +147,7 @@
 
 def config(discovery: int, *endpoints: dict, settings: dict | None = None, sockets: int = 256) -> Config:
     """A node's configuration with a known list."""
-    from topazwall.drill import read_settings
+    from oakbridge.node.settings import read_settings
 
     return Config(
         name="n0", listen=("127.0.0.1", 0), discovery=("127.0.0.1", discovery), seed=7, sockets=sockets,
--- a/tests/test_parts.py
+++ b/tests/policy/test_balancer.py
@@ -6,10 +6,19 @@
 
 import pytest
 
-from topazwall import interface as api
-from topazwall.budget import FLOOR_PER_S, RATIO, SECOND, WINDOW_S, RetryBudget
-from topazwall.choice import BURST, START_EACH, START_MANY, Balancer, Health, Server
-from topazwall.interface import KEYED, SAFE, UNSAFE, AttemptEnded, ListedServer, Request, Result, ServerList
+from oakbridge.policy import vocabulary as api
+from oakbridge.policy.balancer import BURST, START_EACH, START_MANY, Balancer, Health, Server
+from oakbridge.policy.retry_budget import FLOOR_PER_S, RATIO, SECOND, WINDOW_S, RetryBudget
+from oakbridge.policy.vocabulary import (
+    KEYED,
+    SAFE,
+    UNSAFE,
+    AttemptEnded,
+    ListedServer,
+    Request,
+    Result,
+    ServerList,
+)
 
 READ = api.RequestClass("read", 1_000_000, 4_000_000, 1, 0.5, SAFE)
 PAY = api.RequestClass("pay", 1_000_000, 4_000_000, 5, 0.5, UNSAFE)
@@ -411,7 +420,7 @@
 
 def test_actions_do_not_depend_on_the_hash_seed():
     code = (
-        "import sys; sys.path.insert(0, 'tests')\n"
+        "import sys; sys.path.insert(0, 'tests/policy')\n"
         "from test_rules import World\n"
         "w = World(5, {'second_copies': True, 'instances': 3})\n"
         "for _ in range(400): w.step()\n"
--- a/tests/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -7,9 +7,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from topazwall import interface as api
-from topazwall.choice import Balancer
-from topazwall.interface import KEYED, NEVER_RAN, SAFE, UNSAFE, Result
+from oakbridge.policy import vocabulary as api
+from oakbridge.policy.balancer import Balancer
+from oakbridge.policy.vocabulary import KEYED, NEVER_RAN, SAFE, UNSAFE, Result
 
 ZONES, SECOND = ["north", "south"], 1_000_000
 CLASSES = (
@@ -201,7 +201,7 @@
 
 def test_the_check_notices_a_broken_rule(monkeypatch):
     """The statement of the rules above can fail: without the one place that guards repeats, it does."""
-    from topazwall import choice
+    from oakbridge.policy import balancer as choice
 
     monkeypatch.setattr(choice.RepeatSafety, "may_send", lambda *a: True)
     with pytest.raises(AssertionError):
--- a/tests/test_drill.py
+++ b/tests/simhost/test_adapter.py
@@ -5,8 +5,10 @@
 
 import pytest
 
-from topazwall import choice, drill
-from topazwall import interface as api
+from oakbridge.node.settings import read_settings
+from oakbridge.policy import balancer as choice
+from oakbridge.policy import vocabulary as api
+from oakbridge.simhost import adapter
 
 SETTINGS = {
     "allowed": {"cancelling": True, "max-attempts": 5, "second-copies": True, "retry-after": True},
@@ -39,7 +41,7 @@
 def run(*messages):
     lines = [m if isinstance(m, str) else json.dumps(m) for m in messages]
     out, err = io.StringIO(), io.StringIO()
-    code = drill.main(io.StringIO("".join(line + "\n" for line in lines)), out, err)
+    code = adapter.main(io.StringIO("".join(line + "\n" for line in lines)), out, err)
     return code, [json.loads(line) for line in out.getvalue().splitlines()], err.getvalue()
 
 
@@ -215,7 +217,7 @@
 
 @pytest.mark.parametrize(("path", "value", "find"), WIRE)
 def test_each_setting_reaches_the_module(path, value, find):
-    assert find(drill.read_settings(put(SETTINGS, path, value))) == value
+    assert find(read_settings(put(SETTINGS, path, value))) == value
 
 
 @pytest.mark.parametrize("path", sorted({p for p, _, _ in WIRE}))
@@ -228,12 +230,12 @@
 
 @pytest.mark.parametrize("path", sorted({p for p, _, _ in WIRE} - {"instances", "allowed.max-attempts"}))
 def test_an_absent_setting_has_a_default(path):
-    assert drill.read_settings(put(SETTINGS, path, None))
+    assert read_settings(put(SETTINGS, path, None))
 
 
 def test_report_names_are_the_fields_own():
     names = ["rif", "q", "busy", "lat_ms", "rate", "fail_rate", "x0"]
-    got = drill.read_settings(put(SETTINGS, "report.names", names)).report_names
+    got = read_settings(put(SETTINGS, "report.names", names)).report_names
     assert got == ("in_flight", "queued", "utilisation", "latency_ms", "rate", "fail_rate", "x0")
 
 
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -14,9 +14,9 @@
 
 
 def test_module_keeps_its_size():
-    lines = (ROOT / "topazwall/choice.py").read_text().splitlines()
+    lines = (ROOT / "oakbridge/policy/balancer.py").read_text().splitlines()
     policy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]
-    assert policy == ["topazwall/choice.py", "topazwall/budget.py"]
+    assert policy == ["oakbridge/policy/balancer.py", "oakbridge/policy/retry_budget.py"]
     assert sum(1 for line in lines if line.strip()) <= 650
     assert max(map(len, lines)) <= 110
-    assert any("interface.py" in line for line in lines[:5])
+    assert any("vocabulary.py" in line for line in lines[:5])
