Take the list of servers from any source; a request may keep to one version of it

Need: servers come from discovery alone, and taking a list costs by the square of its length (draws and drops walk all servers). Watched files need a whole list taken in one short moment.

Change: node/listing.py has the list's form and the small interface between a node and its source. The pool keeps addresses and takes deltas; a server's connections are made ready at its first attempt. The module takes records made ahead (Upcoming), drops many servers at once, and, where the settings say one_version, never sends a retry to a server that was not on the list of the request's first attempt, or not without a break since; what keeps to a list without any server left is answered at once.

--- a/oakbridge/__main__.py
+++ b/oakbridge/__main__.py
@@ -8,7 +8,8 @@
 import signal
 import sys
 
-from oakbridge.node.config import ConfigError, load
+from oakbridge.node.config import load
+from oakbridge.node.listing import ConfigError
 from oakbridge.node.node import Node
 
 log = logging.getLogger(__name__)
--- a/oakbridge/node/config.py
+++ b/oakbridge/node/config.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import json
 import resource
 from collections.abc import Mapping
@@ -10,43 +9,25 @@
 from pathlib import Path
 from typing import Any
 
+from oakbridge.node.listing import Address, ConfigError, Raw, parse_address
 from oakbridge.node.settings import read_settings
 from oakbridge.policy import vocabulary as api
 
-Address = tuple[str, int]
-Raw = dict[str, Any]
-
 DEFAULT_SOCKETS = 1024
 
 
-class ConfigError(ValueError):
-    """The configuration can't be used; the text is one line that says why."""
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that a node is told."""
 
     name: str
     listen: Address
-    discovery: Address
+    discovery: Address | None  # None: the list comes from another source
     seed: int
     sockets: int  # descriptors that the node may hold
     known: Raw | None  # the list of servers as this node last had it, in discovery's form
     settings: api.Settings
-
-
-def parse_address(text: object) -> Address:
-    """``host:port`` with a numeric IPv4 host: there are no names to look up."""
-    host, _, port = str(text).rpartition(":")
-    try:
-        number = int(port)
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        raise ConfigError(f"expected an IPv4 address and a port, got {text!r:.80}") from None
-    if not 0 <= number < 65536:
-        raise ConfigError(f"expected a port below 65536, got {text!r:.80}")
-    return host, number
+    also_listen: tuple[Address, ...] = ()  # where the deployment allows it
 
 
 def _object(value: Any, what: str) -> Raw:
--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -6,13 +6,11 @@
 import json
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import httptools
 
-from oakbridge.node.config import Address, ConfigError, parse_address
-from oakbridge.policy import vocabulary as api
+from oakbridge.node.listing import Address, BadList, Listener, Listing, parse
 
 log = logging.getLogger(__name__)
 
@@ -22,70 +20,6 @@
 MAX_LIST = 4 * 1024 * 1024
 CHUNK = 64 * 1024
 
-_STATE = {"ready": api.UP, "draining": api.DRAINING, "gone": api.GONE}
-
-
-class BadList(ValueError):
-    """Discovery's answer can't be used."""
-
-
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """One server as listed, and where it listens."""
-
-    server: api.ListedServer
-    address: Address
-
-
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """A version of the list, or what changed up to it."""
-
-    index: int
-    whole: bool
-    entries: list[Entry]
-
-
-def _number(value: Any, kind: type | tuple[type, ...], what: str) -> Any:
-    if isinstance(value, bool) or not isinstance(value, kind):
-        raise BadList(f"{what}: expected a number, got {value!r:.80}")
-    return value
-
-
-def _entry(raw: Any) -> Entry:
-    """One entry; its start is Unix time, which the node's clock counts in as well."""
-    if not isinstance(raw, dict):
-        raise BadList(f"endpoints: expected objects, got {raw!r:.80}")
-    name, state = raw.get("name"), raw.get("status", "ready")
-    if not isinstance(name, str) or not name:
-        raise BadList(f"name: expected a string, got {name!r:.80}")
-    if not isinstance(state, str) or state not in _STATE:
-        raise BadList(f"status: expected ready, draining or gone, got {state!r:.80}")
-    since = _number(raw.get("since_ms", 0), (int, float), "since_ms")
-    weight = _number(raw.get("weight", 1.0), (int, float), "weight")
-    cell = _number(raw.get("group", 0), int, "group")
-    listed = api.ListedServer(
-        name, _STATE[state], str(raw.get("zone") or ""), cell, float(weight), int(since * 1000)
-    )
-    try:
-        return Entry(listed, parse_address(raw.get("address")))
-    except ConfigError as e:
-        if listed.state == api.GONE:  # nothing is sent there: its address does not matter
-            return Entry(listed, ("0.0.0.0", 0))
-        raise BadList(f"address: {e}") from None
-
-
-def parse(raw: Any) -> Listing:
-    """An answer, or the configuration's ``known``, checked as a whole: half a list is no list."""
-    if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
-        raise BadList("expected an object with a list of endpoints")
-    index = _number(raw.get("index"), int, "index")
-    try:
-        entries = [_entry(e) for e in raw["endpoints"]]
-    except (OverflowError, ValueError) as e:  # also not-a-number and infinity, which JSON's reader lets in
-        raise BadList(str(e)) from None
-    return Listing(index, bool(raw.get("snapshot", False)), entries)
-
 
 class _Answer:
     """Collects one answer."""
@@ -107,15 +41,17 @@
 class Discovery:
     """Asks; what comes is handed on as a listing, and what fails as a loss."""
 
-    def __init__(
-        self, address: Address, pushed: bool, listed: Callable[[Listing], None], lost: Callable[[], None]
-    ) -> None:
+    def __init__(self, address: Address, pushed: bool) -> None:
         self._address, self._pushed = address, pushed
-        self._listed, self._lost = listed, lost
         self.index: int | None = None
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
 
+    def tell(self, listener: Listener) -> None:
+        """Name who is told of listings and of losses."""
+        self._listed: Callable[[Listing], None] = listener.listed
+        self._lost: Callable[[], None] = listener.lost_watch
+
     def start(self) -> None:
         """Where lists are pushed, the agent is listened to from the start; elsewhere the module asks."""
         if self._pushed:
--- a/oakbridge/node/downstream.py
+++ b/oakbridge/node/downstream.py
@@ -7,13 +7,13 @@
 import re
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
 import httptools
 
 from oakbridge.node.clock import Clock, Timer
-from oakbridge.node.config import Address
+from oakbridge.node.listing import Address
 from oakbridge.node.upstream import MAX_BODY, MAX_HEAD, Headers, odd_encoding, too_long
 
 log = logging.getLogger(__name__)
@@ -407,7 +407,12 @@
     """Accepts callers within a bound, and hands their requests on."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, clock: Clock, taker: Taker, address: Address, most: int
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        taker: Taker,
+        addresses: Sequence[Address],
+        most: int,
     ) -> None:
         self.loop, self.clock, self.taker, self.most = loop, clock, taker, most
         self.leaving = self.clearing = False
@@ -421,28 +426,44 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._accepting = False
         self._ended: asyncio.Future[None] | None = None
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._socks: list[socket.socket] = []
         try:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self._sock.bind(address)
-            self._sock.listen(BACKLOG)
+            for address in addresses:
+                self._listen(address)
         except OSError:
-            self._sock.close()
+            self._close_door()
             raise
-        self.address: Address = self._sock.getsockname()
+        self.address: Address = self._socks[0].getsockname()
+
+    def _listen(self, address: Address) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._socks.append(sock)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(address)
+        except OSError as e:
+            raise OSError(e.errno, f"{address[0]}:{address[1]}: {e.strerror}") from None
+        sock.listen(BACKLOG)
+
+    def _close_door(self) -> None:
+        for sock in self._socks:
+            sock.close()
+        self._socks = []
 
     def start(self) -> None:
         """Accept."""
-        if not self._accepting and self._sock.fileno() >= 0:
+        if not self._accepting and self._socks:
             self._accepting = True
-            self.loop.add_reader(self._sock, self._accept)
+            for sock in self._socks:
+                self.loop.add_reader(sock, self._accept, sock)
 
     def _stop(self) -> None:
         if self._accepting:
             self._accepting = False
-            self.loop.remove_reader(self._sock)
+            for sock in self._socks:
+                self.loop.remove_reader(sock)
 
-    def _accept(self) -> None:
+    def _accept(self, door: socket.socket) -> None:
         """Take what waits, a few in a turn so that what they say is read in between.
 
         Past the bound others make room; where none can yet, a few more are taken all the same, and told to
@@ -455,7 +476,7 @@
                     self._stop()
                 return
             try:
-                sock, _ = self._sock.accept()
+                sock, _ = door.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as e:  # no descriptor is left: accepting goes on when a caller has left
@@ -569,9 +590,10 @@
 
     def _end_changeover(self) -> None:
         """Take the last that wait outside, then close the door."""
-        self._accept()
+        for sock in self._socks:
+            self._accept(sock)
         self._stop()
-        self._sock.close()
+        self._close_door()
         self._check_end()
 
     def _clear(self) -> None:
@@ -583,7 +605,7 @@
         self._check_end()
 
     def _check_end(self) -> None:
-        if self._ended is not None and self._sock.fileno() < 0 and not self._callers:
+        if self._ended is not None and not self._socks and not self._callers:
             self._give_up()
 
     def _give_up(self) -> None:
@@ -593,7 +615,7 @@
     def close(self) -> None:
         """Close all."""
         self._stop()
-        self._sock.close()
+        self._close_door()
         self.awaited.stop()
         self.idle.stop()
         for caller in list(self._callers):
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -6,11 +6,13 @@
 import logging
 import math
 from collections import deque
+from collections.abc import Callable, Iterable
 
 from oakbridge.node.clock import Clock
-from oakbridge.node.config import Address, Config, ConfigError
-from oakbridge.node.discovery import BadList, Discovery, Listing, parse
+from oakbridge.node.config import Config
+from oakbridge.node.discovery import Discovery
 from oakbridge.node.downstream import HOP, Request, Server
+from oakbridge.node.listing import BadList, ConfigError, Entry, Listing, Source, parse
 from oakbridge.node.upstream import Attempt, Pool, Reply
 from oakbridge.policy import vocabulary as api
 from oakbridge.policy.balancer import Balancer
@@ -59,7 +61,13 @@
 class Node:
     """One node: the module, the sockets on both sides, and discovery."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        source: Callable[[Clock], Source] | None = None,
+    ) -> None:
+        """``source``: where the list comes from, if it is not discovery."""
         settings = config.settings
         self.settings, self.clock, self.config = settings, Clock(loop), config
         self.balancer = Balancer(settings, config.seed)
@@ -67,7 +75,6 @@
         self.tenants = {t.name for t in settings.tenants}
         self.requests: dict[int, Request] = {}
         self.open: set[bytes] = set()  # their ids
-        self.addresses: dict[str, tuple[Address, api.ListedServer]] = {}
         self.count = 0
         self._events: deque[api.Event] = deque()
         self._handling = False
@@ -75,9 +82,18 @@
         self.pool = Pool(
             loop, self.clock, settings.connect_timeout, settings.connection_idle or NEVER_CLOSE_IDLE, upstream
         )
-        self.discovery = Discovery(config.discovery, not settings.must_ask, self.listed, self.lost_watch)
-        self.server = Server(loop, self.clock, self, config.listen, config.sockets - RESERVE - upstream)
-        self._start_from(config)
+        self.source: Source
+        if source is not None:
+            self.source = source(self.clock)
+        elif config.discovery is not None:
+            self.source = Discovery(config.discovery, not settings.must_ask)
+        else:
+            raise ConfigError("discovery: missing, and there is no other source of servers")
+        addresses = (config.listen, *config.also_listen)
+        self.server = Server(loop, self.clock, self, addresses, config.sockets - RESERVE - upstream)
+        self.source.tell(self)
+        if source is None:
+            self._start_from(config)
 
     def _start_from(self, config: Config) -> None:
         """Start from the list as it was: it may be old, but there is no other yet."""
@@ -85,7 +101,8 @@
         try:
             if config.known is not None:
                 known = parse(config.known)
-                self.discovery.index = known.index
+                if isinstance(self.source, Discovery):
+                    self.source.index = known.index
         except BadList as e:
             self.server.close()
             raise ConfigError(f"known: {e}") from None
@@ -93,15 +110,16 @@
 
     def start(self) -> None:
         """Serve."""
-        self.discovery.start()
+        self.source.start()
         self.server.start()
 
     def reload(self, config: Config) -> None:
         """Take a new configuration over while serving: discovery's address; what else changed has to wait."""
         old, self.config = self.config, config
-        if config.discovery != old.discovery:
+        if config.discovery is not None and config.discovery != old.discovery:
             log.info("discovery is now at %s:%d", *config.discovery)
-            self.discovery.move(config.discovery)
+            if isinstance(self.source, Discovery):
+                self.source.move(config.discovery)
         for name in ("name", "listen", "sockets", "settings"):
             if getattr(config, name) != getattr(old, name):
                 log.warning("the configuration's new %s counts from the next start", name)
@@ -115,7 +133,7 @@
 
     def close(self) -> None:
         """End at once."""
-        self.discovery.stop()
+        self.source.stop()
         self.server.close()
         self.pool.close()
 
@@ -154,7 +172,7 @@
 
     def serving(self) -> bool:
         """Ready once a server is known that may be sent to."""
-        return bool(self.pool.targets)
+        return bool(self.pool.listed)
 
     def knows(self, klass: str) -> bool:
         """Whether there is such a class."""
@@ -216,28 +234,25 @@
 
     def listed(self, listing: Listing, saved: bool = False) -> None:
         """Keep to the list at once: no connection that is given out after this leads elsewhere."""
-        if listing.whole:
-            self.addresses.clear()
-        for entry in listing.entries:
-            if entry.server.state == api.UP:
-                self.addresses[entry.server.id] = entry.address, entry.server
-            else:
-                self.addresses.pop(entry.server.id, None)
         event = api.ServerList([e.server for e in listing.entries], whole=listing.whole, saved=saved)
         if listing.entries:
             log.info(
-                "list %d: %s", listing.index, ", ".join(f"{s.id} {s.state}" for s in event.servers)[:400]
+                "list %d: %s", listing.index, ", ".join(f"{s.id} {s.state}" for s in event.servers[:20])[:400]
             )
         # The module hears of the list before it hears of attempts that the list has ended.
         self._events.append(event)
         handling, self._handling = self._handling, True
         try:
-            self.pool.listed((name, address, s.started) for name, (address, s) in self.addresses.items())
+            self.pool.take(listing)
         finally:
             self._handling = handling
         if not handling:
             self._drain()
 
+    def prepare(self, entries: Iterable[Entry]) -> None:
+        """Have the module make records ahead for what the next listing names; nothing is sent there yet."""
+        self.post(api.Upcoming([e.server for e in entries]))
+
     def lost_watch(self) -> None:
         """Asking failed; the list stays as it is."""
         self.post(api.ServerList(lost=True))
@@ -258,9 +273,9 @@
         elif isinstance(action, api.Cancel):
             self._cancel(action)
         elif isinstance(action, api.Watch):
-            self.discovery.watch(action.on)
+            self.source.watch(action.on)
         elif isinstance(action, api.FetchList):
-            self.discovery.fetch()
+            self.source.fetch()
         elif isinstance(action, api.Release):
             self.pool.release(action.server)
         elif isinstance(action, api.Log):
--- a/oakbridge/node/upstream.py
+++ b/oakbridge/node/upstream.py
@@ -10,15 +10,15 @@
 import errno
 import logging
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 import httptools
 
 from oakbridge.node.clock import Clock, Timer
-from oakbridge.node.config import Address
-from oakbridge.policy.vocabulary import Result
+from oakbridge.node.listing import Address, Listing
+from oakbridge.policy.vocabulary import UP, Result
 
 log = logging.getLogger(__name__)
 
@@ -325,19 +325,33 @@
     ) -> None:
         self.loop, self.clock, self.connect_timeout, self.most = loop, clock, connect_timeout, most
         self.idle_for = idle - idle // IDLE_PART
-        self.targets: dict[str, Target] = {}
+        self.listed: dict[str, tuple[Address, int]] = {}  # where servers listen, and since when
+        self.targets: dict[str, Target] = {}  # those of them that something was sent to
         self.count = 0
         self._sweep: Timer | None = None
 
-    def listed(self, servers: Iterable[tuple[str, Address, int]]) -> None:
+    def take(self, listing: Listing) -> None:
         """Take the servers that may be sent to; connections to any other, or to an earlier start, go."""
-        listed = {name: (address, started) for name, address, started in servers}
-        for name, target in list(self.targets.items()):
-            if listed.get(name) != (target.address, target.started):
+        if listing.whole:
+            self.listed = {}
+        for entry in listing.entries:
+            server = entry.server
+            if server.state == UP:
+                self.listed[server.id] = entry.address, server.started
+            else:
+                self.listed.pop(server.id, None)
+        named = self.targets if listing.whole else [e.server.id for e in listing.entries]
+        for name in list(named):
+            target = self.targets.get(name)
+            if target is not None and self.listed.get(name) != (target.address, target.started):
                 self._retire(self.targets.pop(name))
-        for name, (address, started) in listed.items():
-            if name not in self.targets:
-                self.targets[name] = Target(address, started)
+
+    def _target(self, server: str) -> Target | None:
+        """What is kept for a server, from the first attempt on; None if it may not be sent to."""
+        target = self.targets.get(server)
+        if target is None and server in self.listed:
+            target = self.targets[server] = Target(*self.listed[server])
+        return target
 
     def _retire(self, target: Target) -> None:
         """Give idle connections back; what is out may end, and what has not begun ends unsent.
@@ -365,7 +379,7 @@
     def send(self, attempt: Attempt) -> None:
         """Start an attempt; its end is told later, never from in here."""
         attempt.timer = self.clock.call_at(attempt.due, lambda: self._timed_out(attempt))
-        target = self.targets.get(attempt.server)
+        target = self._target(attempt.server)
         if target is None:
             self.loop.call_soon(attempt.end, Reply(Result.CONNECT_FAILED))
             return
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -46,21 +46,22 @@
 
     __slots__ = ("id", "zone", "cell", "size", "started", "out", "score", "scored_at", "ejected_until",
                  "eject_for", "last_sent", "tokens", "tokens_at", "cap", "answered", "slowness",
-                 "paced", "queued", "reported", "gone")  # fmt: skip
+                 "paced", "queued", "reported", "gone", "joined", "place")  # fmt: skip
 
     def __init__(self, entry: api.ListedServer, size: float = 1.0) -> None:
         self.id = entry.id
         self.out: dict[tuple[int, int], Attempt] = {}  # unanswered calls, oldest first
         self.last_sent = self.answered = self.reported = 0
         self.queued = 0.0  # requests that wait there, by its last report
-        self.started = -1
+        self.started, self.place = -1, ""
+        self.joined = 0  # the version since which it has been listed without a break
         self.relist(entry, size)
 
     def relist(self, entry: api.ListedServer, size: float = 1.0) -> None:
         """Take changed facts over; a server that has restarted starts with a clean record."""
         self.zone, self.cell, self.size, self.gone = entry.zone, entry.cell, size, False
-        if entry.started != self.started:
-            self.started = entry.started
+        if entry.started != self.started or entry.place != self.place:
+            self.started, self.place = entry.started, entry.place
             self.score, self.scored_at = SCORE_LOW, 0
             self.ejected_until, self.eject_for = 0, EJECT_FOR
             self.tokens, self.tokens_at = 0.0, -1
@@ -86,7 +87,7 @@
     """One request that is owed a final answer."""
 
     __slots__ = ("id", "klass", "tenant", "arrived", "give_up", "aim_by", "attempts", "out", "failures",
-                 "over_share", "held", "value")  # fmt: skip
+                 "over_share", "held", "value", "version")  # fmt: skip
 
     def __init__(self, request: api.Request, klass: api.RequestClass, now: int) -> None:
         self.id, self.klass, self.tenant = request.id, klass, request.tenant
@@ -94,6 +95,7 @@
         self.give_up = self.aim_by = now
         self.attempts: list[Attempt] = []
         self.out = self.failures = 0
+        self.version = 0  # of the list, at its first attempt
         self.value = 0.0  # its worth for the time that a server has it, as a multiple of the usual
         self.over_share = self.held = False
 
@@ -103,6 +105,8 @@
 
     def __init__(self, settings: api.Settings) -> None:
         self.most, self.copies, self.tick = settings.max_attempts, settings.second_copies, settings.tick
+        self.one_version = settings.one_version
+        self.oldest = 0.0  # the version since which some server has been listed without a break
 
     @staticmethod
     def may_have_run(call: Call) -> list[Attempt]:
@@ -115,6 +119,8 @@
             return True
         if len(call.attempts) >= self.most or (call.out and not self.copies):
             return False
+        if self.one_version and call.version < (server.joined if server else self.oldest):
+            return False  # not on the list that this call keeps to, or not without a break since
         if call.klass.repeat == SAFE:
             return True
         ran = self.may_have_run(call)
@@ -299,7 +305,7 @@
         self.classes = {c.name: c for c in settings.classes}
         self.all_unsafe = all(c.repeat == UNSAFE for c in settings.classes)
         self.safety = RepeatSafety(settings)
-        self.budget = RetryBudget()
+        self.budget = RetryBudget(settings.retry_ratio, settings.retry_floor, settings.retry_window)
         self.health = Health()
         self.admission = Admission(settings)
         # Inner tiers leave time for their callers, also when calls carry no time left.
@@ -310,6 +316,8 @@
         self.subset: list[Server] = []
         self.spare: list[Server] = []
         self.calls: dict[int, Call] = {}
+        self.version = 0  # of the list: one more with each that is taken
+        self.upcoming: list[str] = []
         self.answers = self.reviewed = self.ask_failures = 0
         self.failed_lately, self.resuming = 0.0, False
         self.alarms: list[tuple[int, int, Callable[[int], None]]] = []
@@ -319,6 +327,7 @@
         self.handlers: dict[type, Callable[[int, Any], None]] = {
             api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.TimerFired: self.on_timer,
             api.ClientGone: self.on_gone, api.StreamStarted: self.on_gone, api.ServerList: self.on_list,
+            api.Upcoming: self.on_upcoming,
         }  # fmt: skip
         self.must_ask = settings.must_ask
         self.sized = settings.size_source in (api.NOMINAL, api.ROUGH)  # a live size echoes what copies did
@@ -365,19 +374,27 @@
             self.ask_failures = min(self.ask_failures + 1, 10)
             return self.watch_after(now, wait * self.random.uniform(0.5, 1))
         self.ask_failures *= event.saved
-        listed, before = set(), len(self.servers)
+        self.version += 1
+        before, dropped = len(self.servers), list[Server]()
         for entry in event.servers:
-            listed.add(entry.id)
-            size = entry.size if self.sized and entry.size > 0 else 1.0
-            server = self.known.setdefault(entry.id, Server(entry, size))
-            server.relist(entry, size)
+            server = self.record(entry)
             if entry.state != UP:
-                self.drop(server, entry.state == GONE)
+                server.gone = entry.state == GONE
+                dropped.append(server)
             elif entry.id not in self.servers:
                 self.servers[entry.id] = server
                 self.spare.append(server)
-        for server in [s for s in self.known.values() if event.whole and s.id not in listed]:
-            self.drop(server, True)
+                server.joined = self.version
+        if event.whole:
+            listed = {entry.id for entry in event.servers}
+            for server in [s for s in self.known.values() if s.id not in listed]:
+                server.gone = True
+                dropped.append(server)
+        self.drop(dropped, now)
+        for server in [self.known[name] for name in self.upcoming if name in self.known]:
+            if server.id not in self.servers and not server.joined:  # made ready for, and not listed
+                self.known.pop(server.id)
+        self.upcoming = []
         part = min(1.0, max(1, len(self.servers)) / max(1, before))  # fewer servers carry less than before
         self.admission.flow, self.admission.limit = self.admission.flow * part, self.admission.limit * part
         share = len(self.servers) / self.settings.instances
@@ -389,16 +406,47 @@
             self.draw()
         self.dispatch(now)
 
+    def record(self, entry: api.ListedServer) -> Server:
+        """What is kept of a server, with the facts as they are listed now."""
+        size = entry.size if self.sized and entry.size > 0 else 1.0
+        server = self.known.get(entry.id)
+        if server is None:
+            server = self.known[entry.id] = Server(entry, size)
+            return server
+        moved = server.place != entry.place
+        server.relist(entry, size)
+        if moved:
+            server.joined = self.version  # another process: what keeps to an older list may not go there
+        return server
+
+    def on_upcoming(self, now: int, event: api.Upcoming) -> None:
+        """Make records ahead for servers that are new; nothing is sent there before a list names them."""
+        for entry in event.servers:
+            if entry.id not in self.known:
+                self.record(entry)
+                self.upcoming.append(entry.id)
+
     def watch_after(self, now: int, wait: float) -> None:
         """Ask discovery for the list and its changes after a while."""
         self.alarm(now, wait, lambda _: self.actions.append(api.Watch()))
 
-    def drop(self, server: Server, gone: bool) -> None:
-        """Send nothing more to this server."""
-        server.gone = gone
-        if self.servers.pop(server.id, None) is not None:
-            (self.subset if server in self.subset else self.spare).remove(server)
-        self.lose(server)
+    def drop(self, servers: list[Server], now: int) -> None:
+        """Send nothing more to these servers."""
+        for server in servers:
+            self.servers.pop(server.id, None)
+            self.lose(server)
+        if servers:
+            self.subset = [s for s in self.subset if s.id in self.servers]
+            self.spare = [s for s in self.spare if s.id in self.servers]
+        if self.settings.one_version:
+            self.strand(now)
+
+    def strand(self, now: int) -> None:
+        """Give up at once what keeps to a list of which no server is left: nothing can be sent for it."""
+        self.safety.oldest = min((s.joined for s in self.servers.values()), default=math.inf)
+        for call in [c for c in self.calls.values() if c.attempts and c.version < self.safety.oldest]:
+            if not call.out:
+                self.end(call, now)
 
     def lose(self, server: Server) -> None:
         """Keep nothing of a server that is gone, once no call is out to it: ids are ever new."""
@@ -487,10 +535,11 @@
 
     def draw(self) -> None:
         """Widen the subset by a random spare server; where crossing has a price, half are of the own zone."""
-        spare = list(range(len(self.spare)))
+        near: list[int] = []
         if self.home and 2 * sum(s.zone == self.home for s in self.subset) <= len(self.subset):
-            spare = [i for i in spare if self.spare[i].zone == self.home] or spare
-        self.subset.append(self.spare.pop(self.random.choice(spare)))
+            near = [i for i, s in enumerate(self.spare) if s.zone == self.home]
+        place = self.random.choice(near) if near else self.random.randrange(len(self.spare))
+        self.subset.append(self.spare.pop(place))
 
     def pick(self, call: Call, now: int) -> list[Server]:
         """Two random members that this call may go to; further ones only where those can't be used."""
@@ -553,6 +602,7 @@
         attempt = Attempt(server, now, self.answers)
         if not number:
             self.budget.first(now)
+            call.version = self.version
         if self.warmth(server, now) < 1:
             server.tokens -= 1
         call.attempts.append(attempt)
--- a/oakbridge/policy/retry_budget.py
+++ b/oakbridge/policy/retry_budget.py
@@ -15,14 +15,15 @@
 class RetryBudget:
     """First attempts and retries of a sliding window; tenants share what retries it allows."""
 
-    def __init__(self) -> None:
+    def __init__(self, ratio: float = RATIO, floor: float = FLOOR_PER_S, window: int = WINDOW_S) -> None:
+        self.ratio, self.floor, self.window = ratio, floor * window, window
         self.slots: deque[tuple[int, list[float], dict[str, float]]] = deque()  # second, [firsts, retries]
         self.firsts = self.retries = 0.0
         self.by_tenant: dict[str, float] = {}
 
     def _slot(self, now: int) -> tuple[int, list[float], dict[str, float]]:
         second = now // SECOND
-        while self.slots and self.slots[0][0] <= second - WINDOW_S:
+        while self.slots and self.slots[0][0] <= second - self.window:
             _, (firsts, retries), tenants = self.slots.popleft()
             self.firsts -= firsts
             self.retries -= retries
@@ -40,7 +41,7 @@
     def left(self, now: int) -> float:
         """How many retries the window still allows."""
         self._slot(now)
-        return RATIO * self.firsts + FLOOR_PER_S * WINDOW_S - self.retries
+        return self.ratio * self.firsts + self.floor - self.retries
 
     def take(self, now: int, tenant: str, cost: float) -> bool:
         """Spend a retry if the budget allows it; a tenant may hold as many as are left for the others."""
--- a/oakbridge/policy/vocabulary.py
+++ b/oakbridge/policy/vocabulary.py
@@ -167,6 +167,10 @@
     max_open: int = 0  # requests that an instance may hold; 0: not told
     cpu_per_second: int = 0  # this instance's share of CPU; 0: not told
     cpu_per_request: float = 0.0  # 0: no such limit
+    one_version: bool = False  # a request keeps to the list that its first attempt was sent by; see Balancer
+    retry_ratio: float = 0.2  # retries in the window stay under this share of its first attempts,
+    retry_floor: float = 0.1  # and so many a second
+    retry_window: int = 10  # seconds
 
     def __post_init__(self) -> None:
         """Refuse impossible values."""
@@ -179,6 +183,9 @@
         _check(self.warm_up >= 0, "warm_up", "a time of 0 or more", self.warm_up)
         _check(self.fall_multiple > 0, "fall_multiple", "a number above 0", self.fall_multiple)
         _check(self.fall_window > 0, "fall_window", "a time above 0", self.fall_window)
+        _check(0 <= self.retry_ratio <= 1, "retry_ratio", "a share from 0 to 1", self.retry_ratio)
+        _check(self.retry_floor >= 0, "retry_floor", "a rate of 0 or more", self.retry_floor)
+        _check(1 <= self.retry_window <= 600, "retry_window", "1 to 600 seconds", self.retry_window)
         _check(self.tick > 0, "tick", "a time above 0", self.tick)
         sources = (OFF, NOMINAL, ROUGH, LIVE)
         _check(self.size_source in sources, "size_source", f"one of {', '.join(sources)}", self.size_source)
@@ -204,6 +211,7 @@
     cell: int = 0
     size: float = 1.0
     started: int = 0  # 0: long ago
+    place: str = ""  # where it listens: another place under one id is another process
 
 
 @dataclass(slots=True)
@@ -216,6 +224,13 @@
     saved: bool = False  # the list as it was before this instance started, maybe old
 
 
+@dataclass(slots=True)
+class Upcoming:
+    """Servers that the next list will name: records are made ahead, so that taking the list is quick."""
+
+    servers: list[ListedServer] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class Request:
     """A request was taken; it is owed one final answer within ``time_left``."""
@@ -285,6 +300,7 @@
 
 Event = (
     ServerList
+    | Upcoming
     | Request
     | StreamStarted
     | AttemptEnded
