--- a/oakbridge/__init__.py
+++ b/oakbridge/__init__.py
@@ -2,4 +2,5 @@
 
 from oakbridge.policy.balancer import Balancer
 
-__all__ = ["Balancer"]
+__version__ = "0.3.0"
+__all__ = ["Balancer", "__version__"]
--- a/oakbridge/__main__.py
+++ b/oakbridge/__main__.py
@@ -1,4 +1,4 @@
-"""Starts a real node; SIGTERM ends it as a planned restart asks for, SIGHUP reads its configuration anew."""
+"""``python -m oakbridge``: the platform's node, told all by its environment; with arguments, the command line."""
 
 from __future__ import annotations
 
@@ -11,50 +11,34 @@
 from oakbridge.node.config import load
 from oakbridge.node.listing import ConfigError
 from oakbridge.node.node import Node
+from oakbridge.node.run import serve
 
-log = logging.getLogger(__name__)
 
-
-def reload(node: Node) -> None:
-    """Read the configuration anew; one that can't be used is told in the log, and the old one stays."""
-    try:
-        node.reload(load(os.environ, again=True))
-    except Exception as e:  # contained: a file that is broken or half written must not end a node
-        log.error("the configuration was not read anew: %s", str(e) or type(e).__name__)
+async def build(loop: asyncio.AbstractEventLoop) -> Node:
+    """The node that the environment tells of."""
+    return Node(load(os.environ), loop)
 
 
-async def serve() -> None:
-    """Serve until SIGTERM, then end in order."""
-    loop = asyncio.get_running_loop()
-    stop, hangup = asyncio.Event(), asyncio.Event()
-    # Before the file is read: what changes in it from then on is heard of.
-    loop.add_signal_handler(signal.SIGHUP, hangup.set)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    config = load(os.environ)
-    node = Node(config, loop)
-    node.start()
-    log.info("%s listens on %s:%d", config.name, *config.listen)
-    reloading = loop.create_task(_reloading(node, hangup))
-    await stop.wait()
-    log.info("%s ends", config.name)
-    await node.leave()
-    reloading.cancel()
+def reload(node: Node) -> None:
+    """Read the configuration anew; one that can't be used raises, and the old one stays."""
+    node.reload(load(os.environ, again=True))
 
 
-async def _reloading(node: Node, hangup: asyncio.Event) -> None:
-    """Reload once for all signals that came meanwhile: the file as it is now is all that counts."""
-    while await hangup.wait():
-        hangup.clear()
-        reload(node)
+def start_log(level: int = logging.INFO) -> None:
+    """The log, on standard error."""
+    logging.basicConfig(level=level, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
 
 
 def main() -> int:
     """Run a node; returns the exit code."""
+    if not os.environ.get("NODE_CONFIG"):
+        print("oakbridge: NODE_CONFIG: missing, expected the path of the configuration"
+              " (without the platform: `oakbridge --help`, `oakbridge demo`)", file=sys.stderr)  # fmt: skip
+        return 2
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens to it: it ends no node
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
+    start_log()
     try:
-        asyncio.run(serve())
+        asyncio.run(serve(build, reload))
     except ConfigError as e:
         print(f"oakbridge: {e}", file=sys.stderr)
         return 2
@@ -65,4 +49,8 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        from oakbridge.cli.main import main as command_line
+
+        sys.exit(command_line())
     sys.exit(main())
--- /dev/null
+++ b/oakbridge/cli/check.py
@@ -0,0 +1,51 @@
+"""``oakbridge check``: every mistake of a configuration at once."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from oakbridge.cli.common import BadInput, say_json
+from oakbridge.cli.serve import file_options
+from oakbridge.config.load import BadFile, load
+from oakbridge.config.reference import page
+from oakbridge.sources.inspect import inspect
+
+
+@click.command("check")
+@click.argument("path", metavar="FILE", required=False, type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="The mistakes as JSON.")
+@click.option("--reference", is_flag=True, help="Print the reference of all keys instead, as Markdown.")
+def command(path: Path | None, as_json: bool, reference: bool) -> None:
+    """Check a configuration, and the server files that it names; exit code 2 if there are mistakes."""
+    if reference:
+        return click.echo(page(), nl=False)
+    if path is None:
+        raise BadInput("check: expected the configuration's FILE")
+    problems, told = [], ""
+    try:
+        loaded = load(path)
+        options = file_options(loaded)
+        told = f"{len(loaded.file.classes)} classes, {len(loaded.file.tenants)} tenants"
+        if options is not None:
+            found = inspect(options.path, options.directory)
+            problems = found.problems
+            told += f", {len(found.parsed.servers)} servers in {options.path}"
+        elif loaded.file.servers.inline:
+            told += f", {len(loaded.file.servers.inline)} servers"
+    except BadFile as e:
+        problems = e.problems
+    if as_json:
+        say_json({
+            "ok": not problems,
+            "problems": [
+                {"file": p.file, "line": p.line, "field": p.where(), "expected": p.expected} for p in problems
+            ],
+        })  # fmt: skip
+    elif problems:
+        raise BadInput("\n".join(map(str, problems)))
+    else:
+        click.echo(f"{path}: good ({told})")
+    if problems:
+        raise click.exceptions.Exit(2)
--- /dev/null
+++ b/oakbridge/cli/common.py
@@ -0,0 +1,79 @@
+"""What several commands share: their ways to end, and finding a node's control socket."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from oakbridge.control.client import ControlClient, Unreachable
+
+
+class Failed(click.ClickException):
+    """It did not work: exit code 1."""
+
+    exit_code = 1
+
+    def show(self, file: Any = None) -> None:
+        """One line, or one for each mistake."""
+        print(*(f"oakbridge: {line}" for line in self.message.splitlines()), sep="\n", file=sys.stderr)
+
+
+class BadInput(Failed):
+    """A mistake in a file or in how the command was called: exit code 2."""
+
+    exit_code = 2
+
+
+def say_json(value: Any) -> None:
+    """A result for programs."""
+    print(json.dumps(value, indent=2, sort_keys=True))
+
+
+def socket_options(function: Any) -> Any:
+    """The two ways to name a node."""
+    function = click.option(
+        "--config", type=click.Path(path_type=Path), help="The node's configuration, which tells its socket."
+    )(function)
+    return click.option(
+        "--socket", "socket_path", type=click.Path(path_type=Path), help="The node's control socket."
+    )(function)
+
+
+def connect(socket_path: Path | None, config: Path | None) -> ControlClient:
+    """A connection to the node that is meant: by socket, by configuration, or the only one there is."""
+    try:
+        return ControlClient(find_socket(socket_path, config))
+    except Unreachable as e:
+        raise Failed(str(e)) from None
+
+
+def find_socket(socket_path: Path | None, config: Path | None) -> Path:
+    """Where the control socket of the node that is meant should be."""
+    if socket_path is not None:
+        return socket_path
+    if config is not None:
+        from oakbridge.config.load import BadFile, load
+
+        try:
+            found = load(config).control
+        except BadFile as e:
+            raise BadInput(str(e)) from None
+        if found is None:
+            raise BadInput(f"{config}: control: enabled is false, so this node has no control socket")
+        return found
+    runtime = os.environ.get("XDG_RUNTIME_DIR")
+    folder = Path(runtime) / "oakbridge" if runtime else Path(f"/tmp/oakbridge-{os.getuid()}")
+    sockets = sorted(folder.glob("*.sock"))
+    if len(sockets) == 1:
+        return sockets[0]
+    if not sockets:
+        raise Failed(f"no control socket in {folder}: is a node running? (--socket or --config names one)")
+    names = ", ".join(s.stem for s in sockets)
+    raise BadInput(
+        f"several nodes have control sockets in {folder} ({names}): name one with --socket or --config"
+    )
--- /dev/null
+++ b/oakbridge/cli/demo.py
@@ -0,0 +1,85 @@
+"""``oakbridge demo``: the whole of it at work, on real sockets, with one command."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import click
+from rich import box
+from rich.console import Console, Group
+from rich.live import Live
+from rich.progress_bar import ProgressBar
+from rich.table import Table
+from rich.text import Text
+
+from oakbridge.cli.common import Failed, say_json
+from oakbridge.cli.status import STATE_STYLE
+from oakbridge.demo.play import DemoFailed, Scene, play
+
+
+@click.command("demo")
+@click.option("--seconds", default=10.0, type=click.FloatRange(1, 300), help="How long the load lasts.")
+@click.option("--rate", default=200.0, type=click.FloatRange(1, 2000), help="Requests a second.")
+@click.option(
+    "--seed", default=7, type=click.IntRange(0), help="For arrivals and for the servers' behaviour."
+)
+@click.option("--json", "as_json", is_flag=True, help="The result as JSON, and no live figures.")
+def command(seconds: float, rate: float, seed: int, as_json: bool) -> None:
+    """Stand-in servers (one slow, one failing), a node and a small load, with live figures."""
+    console = Console()
+    try:
+        if as_json or not console.is_terminal:
+            scene = asyncio.run(play(rate, seconds, seed, lambda _: None))
+        else:
+            with Live(console=console, refresh_per_second=4) as live:
+                scene = asyncio.run(play(rate, seconds, seed, lambda s: live.update(picture(s))))
+    except DemoFailed as e:
+        raise Failed(str(e)) from None
+    if as_json:
+        say_json(result(scene))
+    elif not console.is_terminal:
+        console.print(picture(scene))
+    tally = scene.tally
+    if tally.lost or tally.done != tally.sent:
+        raise Failed(f"{tally.sent - sum(tally.answered.values())} of {tally.sent} requests have no answer")
+    if not as_json:
+        console.print(f"Every one of {tally.sent} requests had exactly one answer.")
+
+
+def result(scene: Scene) -> dict[str, Any]:
+    """The figures, for programs."""
+    tally = scene.tally
+    return {
+        "sent": tally.sent,
+        "answered": {str(k): v for k, v in sorted(tally.answered.items())},
+        "lost": tally.lost,
+        "in_aim": tally.in_aim,
+        "by_server": dict(sorted(tally.by_server.items())),
+        "latency_ms": {f"p{p}": round(1000 * tally.percentile(p / 100), 1) for p in (50, 90, 99)},
+        "list_version": scene.status.get("list_version"),
+    }
+
+
+def picture(scene: Scene) -> Group:
+    """The scene as a table."""
+    tally, rows = scene.tally, {r["name"]: r for r in scene.status.get("rows", [])}
+    table = Table(box=box.SIMPLE_HEAD)
+    for column in ("server", "what it does", "state", "out", "answers", "share"):
+        table.add_column(column, justify="left" if column in ("server", "what it does", "state") else "right")
+    total = max(1, sum(tally.by_server.values()))
+    for name, role in scene.roles.items():
+        row, count = rows.get(name), tally.by_server[name]
+        state = row["state"] if row else "not listed"
+        style = STATE_STYLE.get(state, "dim")
+        out = str(row["out"]) if row else ""
+        table.add_row(name, role, Text(state, style=style), out, str(count), f"{count / total:.0%}")
+    served = tally.answered[200]
+    figures = (
+        f"{tally.sent} sent, {served} served, {tally.in_aim} of them in time, "
+        f"{sum(tally.answered.values()) - served} refused or failed, {tally.lost} lost\n"
+        f"latency p50 {1000 * tally.percentile(0.5):.0f} ms, p99 {1000 * tally.percentile(0.99):.0f} ms; "
+        f"retries left in the budget {scene.status.get('retries_left', 0):g}"
+    )
+    bar = ProgressBar(total=scene.of or 1, completed=scene.seconds, width=60)
+    return Group(*map(Text, scene.said), bar, table, Text(figures))
--- /dev/null
+++ b/oakbridge/cli/serve.py
@@ -0,0 +1,122 @@
+"""``oakbridge serve``: a node without the platform, told all by one TOML file."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import click
+
+from oakbridge.__main__ import main as serve_platform
+from oakbridge.__main__ import start_log
+from oakbridge.cli.common import BadInput, Failed
+from oakbridge.config.load import BadFile, Loaded, inline_entries, load
+from oakbridge.config.schema import resolved
+from oakbridge.control.server import ControlServer
+from oakbridge.control.state import NodeControl
+from oakbridge.node.clock import Clock
+from oakbridge.node.listing import ConfigError, Source
+from oakbridge.node.node import Node
+from oakbridge.node.run import serve
+from oakbridge.sources.files import FileOptions, FileSource, InlineSource
+
+FIRST_LOOK_S = 10.0  # in which a server file must have been read at the start
+
+
+def file_options(loaded: Loaded) -> FileOptions | None:
+    """How the server file or directory of this configuration is watched, if it has one."""
+    servers = loaded.file.servers
+    path = servers.file or servers.directory
+    if path is None:
+        return None
+    return FileOptions(
+        resolved(path, loaded.path),
+        directory=servers.directory is not None,
+        settle=servers.settle / 1e6,
+        poll=servers.poll / 1e6,
+        most_lost=servers.most_lost,
+        saved=resolved(servers.saved, loaded.path) if servers.saved else None,
+    )
+
+
+def build(loaded: Loaded, loop: asyncio.AbstractEventLoop) -> Node:
+    """The node that a configuration tells of, with its source of servers."""
+    options, entries = file_options(loaded), inline_entries(loaded.file)
+
+    def source(clock: Clock) -> Source:
+        return FileSource(options, clock.now) if options is not None else InlineSource(entries)
+
+    return Node(loaded.config, loop, None if loaded.config.discovery else source)
+
+
+async def started(loaded: Loaded, loop: asyncio.AbstractEventLoop) -> Node:
+    """The node, once its server file has been read.  Raises ConfigError where there is no list to start from."""
+    node = build(loaded, loop)
+    if isinstance(node.source, FileSource):
+        node.source.start()
+        try:
+            async with asyncio.timeout(FIRST_LOOK_S):
+                await node.source.ready()
+        except (TimeoutError, ConfigError) as e:
+            node.close()
+            raise ConfigError(
+                str(e) or f"{node.source.options.path}: not read within {FIRST_LOOK_S:g} s"
+            ) from None
+    return node
+
+
+@asynccontextmanager
+async def control(loaded: Loaded, node: Node) -> AsyncIterator[None]:
+    """The node's control socket, for as long as it runs."""
+    if loaded.control is None:
+        yield
+        return
+    server = ControlServer(loaded.control, NodeControl(node).handle)
+    await server.start()
+    try:
+        yield
+    finally:
+        server.close()
+
+
+def reload(path: Path, node: Node) -> None:
+    """Read the file anew, and look at the servers.  Raises with every mistake; then nothing has changed."""
+    node.reload(load(path).config)
+    node.source.fetch()
+
+
+@click.command("serve")
+@click.option("--config", "path", type=click.Path(path_type=Path), help="The configuration, a TOML file.")
+def command(path: Path | None) -> None:
+    """Run one node until SIGTERM; SIGHUP reads its configuration anew.
+
+    Without --config the platform's environment tells all (NODE_CONFIG and its kin).
+    """
+    if path is None:
+        if not os.environ.get("NODE_CONFIG"):
+            raise BadInput("serve: expected --config FILE (docs/getting-started.md has one to begin with)")
+        raise click.exceptions.Exit(serve_platform())
+    try:
+        loaded = load(path)
+    except BadFile as e:
+        raise BadInput(str(e)) from None
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens to it: it ends no node
+    start_log(getattr(logging, loaded.file.log.level.upper()))
+    logging.getLogger("watchfiles").setLevel(logging.WARNING)
+    try:
+        asyncio.run(
+            serve(
+                lambda loop: started(loaded, loop),
+                lambda node: reload(path, node),
+                lambda node: control(loaded, node),
+            )
+        )
+    except ConfigError as e:
+        raise BadInput(str(e)) from None
+    except OSError as e:
+        raise Failed(f"can't start: {e}") from None
--- /dev/null
+++ b/oakbridge/config/load.py
@@ -0,0 +1,208 @@
+"""Reads ``oakbridge.toml``: every mistake at once, each with its line, its field and what was expected."""
+
+from __future__ import annotations
+
+import os
+import re
+import secrets
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pydantic import ValidationError
+from pydantic_core import ErrorDetails
+
+from oakbridge.config import schema
+from oakbridge.node.config import Config
+from oakbridge.node.listing import Entry
+from oakbridge.policy import vocabulary as api
+from oakbridge.sources.formats import Problem
+from oakbridge.sources.locate import lines_of, nearest
+
+MAX_BYTES = 4 * 1024 * 1024
+DRAIN_GRACE = 250_000  # in which a drain ends new work
+CROSSING = 0.02  # any price above 0 has the module prefer its own zone
+
+
+class BadFile(ValueError):
+    """A configuration that can't be used, with all its mistakes."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("\n".join(map(str, problems)))
+        self.problems = problems
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """A checked file, and what it means for a node."""
+
+    path: Path
+    file: schema.File
+    config: Config
+    control: Path | None  # of the control socket
+
+
+def load(path: Path) -> Loaded:
+    """Read and check a file.  Raises :class:`BadFile`."""
+    try:
+        if path.stat().st_size > MAX_BYTES:
+            raise BadFile([Problem(str(path), (), f"expected at most {MAX_BYTES} bytes")])
+        data = path.read_bytes()
+    except OSError as e:
+        raise BadFile([Problem(str(path), (), e.strerror or str(e))]) from None
+    file = check(data, str(path))
+    return Loaded(path, file, _node_config(file), control_socket(file))
+
+
+def check(data: bytes, name: str) -> schema.File:
+    """Check a file's bytes.  Raises :class:`BadFile`."""
+    try:
+        raw = tomllib.loads(data.decode("utf-8-sig"))
+    except UnicodeDecodeError as e:
+        line = data[: e.start].count(b"\n") + 1
+        raise BadFile(
+            [Problem(name, (), f"expected UTF-8, got the byte 0x{data[e.start]:02x}", line)]
+        ) from None
+    except tomllib.TOMLDecodeError as e:
+        at = re.search(r"\(at line (\d+)", str(e))
+        line = int(at[1]) if at else data.count(b"\n") + 1
+        text = re.sub(r" [(]at .*", "", str(e))
+        raise BadFile([Problem(name, (), f"expected TOML: {text}", line)]) from None
+    try:
+        return schema.File.model_validate(raw)
+    except ValidationError as e:
+        lines = lines_of(data, "toml")
+        found = [_problem(name, error, lines) for error in e.errors(include_url=False)]
+        raise BadFile(sorted(found, key=lambda p: (p.line or 0, p.where()))) from None
+
+
+_EXPECTED = {
+    "missing": "missing, expected a value",
+    "extra_forbidden": "unknown key",
+    "string_type": "expected a text",
+    "int_type": "expected a whole number",
+    "float_type": "expected a number",
+    "bool_type": "expected true or false",
+    "list_type": "expected a list",
+    "model_type": "expected a table",
+    "model_attributes_type": "expected a table",
+    "string_pattern_mismatch": "expected a name without blanks, in ASCII",
+}
+_RELATIONS = {
+    "greater_than": ("above", "gt"), "greater_than_equal": ("of at least", "ge"),
+    "less_than": ("below", "lt"), "less_than_equal": ("of at most", "le"),
+}  # fmt: skip
+
+
+def _problem(name: str, error: ErrorDetails, lines: dict[tuple[str | int, ...], int]) -> Problem:
+    path = tuple(error["loc"])
+    kind, context, got = error["type"], error.get("ctx", {}), error.get("input")
+    shown = "" if isinstance(got, dict | list) and kind != "list_type" else f", got {got!r:.60}"
+    if kind == "value_error":
+        text = str(context["error"])
+    elif kind in _RELATIONS:
+        word, key = _RELATIONS[kind]
+        text = f"expected a number {word} {context[key]:g}{shown}"
+    elif kind == "literal_error":
+        text = f"expected {context['expected']}{shown}".replace("'", "")
+    elif kind in ("too_short", "string_too_short"):
+        text = "expected at least one" if kind == "too_short" else "expected a text that is not empty"
+    elif kind in ("too_long", "string_too_long"):
+        text = f"expected at most {context['max_length']}"
+    elif kind == "missing":
+        text = _EXPECTED[kind]
+    elif kind == "extra_forbidden":
+        text = f"unknown key{_near(path)}"
+    else:
+        text = _EXPECTED.get(kind, error["msg"]) + shown
+    return Problem(name, path, text, nearest(lines, path))
+
+
+def _near(path: tuple[str | int, ...]) -> str:
+    """What the key may have been meant to be."""
+    model: Any = schema.File
+    for part in path[:-1]:
+        if isinstance(part, int):
+            continue
+        field = next((f for n, f in model.model_fields.items() if (f.alias or n) == part), None)
+        if field is None:
+            return ""
+        inner = getattr(field.annotation, "__args__", (field.annotation,))
+        model = next((m for m in inner if isinstance(m, type) and issubclass(m, schema.Table)), None)
+        if model is None:
+            return ""
+    names = sorted(f.alias or n for n, f in model.model_fields.items())
+    return f"; expected one of {', '.join(names)}"
+
+
+def control_socket(file: schema.File) -> Path | None:
+    """Where the control socket is, by the file or by the user's runtime directory."""
+    if not file.control.enabled:
+        return None
+    if file.control.socket is not None:
+        return Path(file.control.socket).expanduser().absolute()
+    return default_socket(file.node.name)
+
+
+def default_socket(name: str) -> Path:
+    """The socket of a node by its name."""
+    runtime = os.environ.get("XDG_RUNTIME_DIR")
+    folder = Path(runtime) / "oakbridge" if runtime else Path(f"/tmp/oakbridge-{os.getuid()}")
+    return folder / f"{re.sub(r'[^A-Za-z0-9._-]', '_', name)}.sock"
+
+
+def _node_config(file: schema.File) -> Config:
+    node, limits = file.node, file.limits
+    first, *others = node.listen
+    seed = secrets.randbits(64) if node.seed is None else node.seed
+    return Config(
+        node.name, first, file.servers.discovery, seed, limits.sockets, None, _settings(file), tuple(others)
+    )
+
+
+def _settings(file: schema.File) -> api.Settings:
+    """The module's settings; a tick of 1 ms, as on the platform."""
+    limits, budget, cold = file.limits, file.retry_budget, file.cold_start
+    classes = tuple(
+        api.RequestClass(
+            c.name, c.aim, c.deadline, c.worth, c.late_worth, c.repeat, c.group, c.repeat_window
+        )
+        for c in file.classes
+    )  # fmt: skip
+    return api.Settings(
+        classes=classes,
+        tenants=tuple(api.Tenant(t.name, t.quota_per_s) for t in file.tenants),
+        instances=file.node.instances,
+        zone=file.node.zone,
+        zones=(file.node.zone, "any other") if file.node.zone else (),
+        prices=api.Prices(cross_zone=CROSSING if file.node.zone else 0.0),
+        max_attempts=limits.attempts,
+        cancel=True,
+        max_retry_after=limits.retry_after,
+        size_source=api.NOMINAL,
+        drain_grace=DRAIN_GRACE,
+        cold_from=cold.share,
+        warm_up=cold.warm_up,
+        fall_multiple=cold.most,
+        fall_window=cold.within,
+        over_share_worth=limits.over_quota_worth,
+        connection_idle=limits.connection_idle,
+        connect_timeout=limits.connect_timeout,
+        max_open=limits.open_requests,
+        one_version=True,
+        retry_ratio=budget.ratio,
+        retry_floor=budget.floor_per_s,
+        retry_window=budget.window_s,
+    )
+
+
+def inline_entries(file: schema.File) -> list[Entry]:
+    """The servers that the file itself holds."""
+    return [
+        Entry(
+            api.ListedServer(s.name, api.UP, s.zone, s.group, s.weight, 0, f"{s.address[0]}:{s.address[1]}"),
+            s.address,
+        )
+        for s in file.servers.inline
+    ]
--- /dev/null
+++ b/oakbridge/config/schema.py
@@ -0,0 +1,236 @@
+"""What ``oakbridge.toml`` may hold.  These definitions check it, and the reference page is made from them."""
+
+from __future__ import annotations
+
+import math
+import re
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, model_validator
+
+from oakbridge.node.listing import ConfigError, parse_address
+from oakbridge.policy.vocabulary import KEYED
+
+_UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000}
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)\s*(us|ms|s|m|h)")
+LONGEST = 24 * 3_600_000_000
+
+
+def duration(value: object) -> int:
+    """``"2.5s"``, ``"250ms"`` and the like, in whole microseconds."""
+    match = _DURATION.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
+        raise ValueError(f'expected a time such as "250ms" or "2.5s", got {value!r:.60}')
+    micros = round(float(match[1]) * _UNITS[match[2]])
+    if micros > LONGEST:
+        raise ValueError(f'expected a time of at most "24h", got {value!r:.60}')
+    return micros
+
+
+def _above_zero(value: object) -> int:
+    if (micros := duration(value)) <= 0:
+        raise ValueError(f"expected a time above 0, got {value!r:.60}")
+    return micros
+
+
+def _address(value: object) -> tuple[str, int]:
+    try:
+        return parse_address(value)
+    except ConfigError as e:
+        raise ValueError(str(e)) from None
+
+
+def _finite(value: object) -> object:
+    if isinstance(value, float) and not math.isfinite(value):
+        raise ValueError(f"expected a finite number, got {value!r}")
+    return value
+
+
+Duration = Annotated[int, BeforeValidator(duration), Field(json_schema_extra={"kind": "time"})]
+Time = Annotated[int, BeforeValidator(_above_zero), Field(json_schema_extra={"kind": "time above 0"})]
+Address = Annotated[
+    tuple[str, int], BeforeValidator(_address), Field(json_schema_extra={"kind": "IPv4:port"})
+]
+Number = Annotated[float, BeforeValidator(_finite)]
+Name = Annotated[str, Field(min_length=1, max_length=100, pattern=r"^[\x21-\x7e]+$")]
+
+
+class Table(BaseModel):
+    """A table of the file: keys that it does not know are mistakes."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class NodeTable(Table):
+    """The node itself."""
+
+    name: Name = Field("node", description="Its name, in logs and in `oakbridge status`.")
+    listen: list[Address] = Field(
+        [("127.0.0.1", 8080)], min_length=1, max_length=16, description="Where callers connect."
+    )
+    instances: int = Field(
+        1, ge=1, le=100_000,
+        description="How many nodes share these servers. Each keeps a subset of them; all together cover all.",
+    )  # fmt: skip
+    zone: str = Field("", max_length=200, description="Its zone; servers of the same one are preferred.")
+    seed: int | None = Field(None, ge=0, description="For random choices; a new one at each start if absent.")
+
+
+class InlineServer(Table):
+    """One server, where the list is part of this file."""
+
+    name: Name = Field(description="Its name, unlike any other's.")
+    address: Address = Field(description="Where it listens.")
+    weight: Number = Field(1.0, gt=0, le=1e6, description="Its part of the calls, against the others'.")
+    zone: str = Field("", max_length=200, description="Its zone.")
+    group: int = Field(0, description="Servers of one group drop each other's repeats (class: group = cell).")
+
+
+class ServersTable(Table):
+    """Where the list of servers comes from: exactly one of `file`, `directory`, `discovery`, `inline`."""
+
+    file: str | None = Field(None, min_length=1, description="A server file that is watched.")
+    directory: str | None = Field(
+        None, min_length=1, description="A directory whose .json and .toml files are one list; it is watched."
+    )
+    discovery: Address | None = Field(None, description="A discovery service (GET /api/targets).")
+    inline: list[InlineServer] = Field([], description="The servers themselves; they change with a restart.")
+    settle: Time = Field(
+        40_000,
+        description="A file without a checksum line must read the same twice, so far apart.",
+    )  # fmt: skip
+    poll: Time = Field(1_000_000, description="How often to look even if no change is told.")
+    most_lost: Number = Field(
+        0.5, ge=0, le=1,
+        description="A version that takes a larger share of the ready servers away at once is held.",
+    )  # fmt: skip
+    saved: str | None = Field(
+        None, min_length=1, description="Where a copy of the last good version is kept for the next start."
+    )
+
+    @model_validator(mode="after")
+    def _one_source(self) -> ServersTable:
+        given = [n for n in ("file", "directory", "discovery", "inline") if getattr(self, n)]
+        if len(given) != 1:
+            got = " and ".join(given) or "none"
+            raise ValueError(f"expected exactly one of file, directory, discovery and inline, got {got}")
+        for kind in ("name", "address"):
+            seen: set[Any] = set()
+            for server in self.inline:
+                if (value := getattr(server, kind)) in seen:
+                    shown = value if kind == "name" else f"{value[0]}:{value[1]}"
+                    raise ValueError(f"inline: expected each {kind} once, got {shown!r} again")
+                seen.add(value)
+        return self
+
+
+class ClassTable(Table):
+    """A class of requests, named by the header `X-Priority-Class`."""
+
+    name: Name = Field(description="Its name.")
+    aim: Time = Field(description="An answer within this time is worth the whole; queues are ordered by it.")
+    deadline: Time = Field(
+        description="The longest that a request may take, if its caller does not say less."
+    )
+    worth: Number = Field(1.0, ge=0, description="What an answer in time is worth, against other classes.")
+    late_worth: Number = Field(0.0, ge=0, le=1, description="The share of it that a later answer keeps.")
+    repeat: Literal["safe", "keyed", "unsafe"] = Field(
+        "unsafe",
+        description="`safe` may run twice; `keyed` may be sent again within its window and group; `unsafe` never.",
+    )
+    group: Literal["all", "zone", "cell"] = Field("all", description="Keyed: which servers drop repeats.")
+    repeat_window: Duration = Field(0, description="Keyed: for how long repeats are dropped.")
+
+    @model_validator(mode="after")
+    def _fits(self) -> ClassTable:
+        if self.aim > self.deadline:
+            raise ValueError("aim: expected at most the deadline")
+        if self.repeat == KEYED and not self.repeat_window:
+            raise ValueError("repeat_window: expected a time above 0 where repeat is keyed")
+        return self
+
+
+class TenantTable(Table):
+    """Whose requests these are, by the header `X-Tenant-Id`."""
+
+    name: Name = Field(description="Its name.")
+    quota_per_s: Number = Field(ge=0, description="Requests a second that are its share; more count less.")
+
+
+class LimitsTable(Table):
+    """Bounds of one node."""
+
+    sockets: int = Field(1024, ge=128, le=1_048_576, description="Descriptors that it may hold.")
+    open_requests: int = Field(20_000, ge=1, description="Requests that it holds; more are turned away.")
+    attempts: int = Field(3, ge=1, le=20, description="Attempts of one request at most.")
+    connect_timeout: Time = Field(1_000_000, description="A connection that takes longer has failed.")
+    connection_idle: Time = Field(15_000_000, description="Servers close a connection at rest so long.")
+    retry_after: Duration = Field(2_000_000, description="The longest advice to come back later; 0: none.")
+    over_quota_worth: Number = Field(
+        0.1, ge=0, le=1, description="What a request beyond its tenant's quota counts, against one within."
+    )
+
+
+class RetryBudgetTable(Table):
+    """How many retries there may be: `ratio` x first attempts + `floor_per_s` x window, within each window."""
+
+    ratio: Number = Field(0.2, ge=0, le=1, description="Retries as a share of first attempts.")
+    floor_per_s: Number = Field(0.1, ge=0, le=1000, description="Retries a second that are always allowed.")
+    window_s: int = Field(10, ge=1, le=600, description="Seconds that are looked back upon.")
+
+
+class ColdStartTable(Table):
+    """How a server that has just started is spared."""
+
+    share: Number = Field(
+        0.2, gt=0, le=1, description="What it can do at its start, of what it will do warm."
+    )
+    warm_up: Duration = Field(10_000_000, description="Until it is warm.")
+    most: Number = Field(2.5, gt=0, description="More than this multiple of what it can do pushes it over.")
+    within: Time = Field(3_000_000, description="Over so long.")
+
+
+class ControlTable(Table):
+    """The local socket that `oakbridge status` asks; its owner alone may use it."""
+
+    enabled: bool = Field(True, description="Whether there is one.")
+    socket: str | None = Field(
+        None, min_length=1, max_length=100,
+        description="Its path; if absent, `oakbridge/NAME.sock` in the user's runtime directory.",
+    )  # fmt: skip
+
+
+class LogTable(Table):
+    """The log, on standard error."""
+
+    level: Literal["debug", "info", "warning", "error"] = Field("info", description="The least that is told.")
+
+
+class File(Table):
+    """The whole file."""
+
+    node: NodeTable = NodeTable()
+    servers: ServersTable
+    classes: list[ClassTable] = Field(alias="class", min_length=1, max_length=1000)
+    tenants: list[TenantTable] = Field([], alias="tenant", max_length=100_000)
+    limits: LimitsTable = LimitsTable()
+    retry_budget: RetryBudgetTable = RetryBudgetTable()
+    cold_start: ColdStartTable = ColdStartTable()
+    control: ControlTable = ControlTable()
+    log: LogTable = LogTable()
+
+    @model_validator(mode="after")
+    def _names_once(self) -> File:
+        for kind, rows in (("class", self.classes), ("tenant", self.tenants)):
+            seen: set[str] = set()
+            for row in rows:
+                if row.name in seen:
+                    raise ValueError(f"{kind}: expected each name once, got {row.name!r} again")
+                seen.add(row.name)
+        return self
+
+
+def resolved(path: str, beside: Path) -> Path:
+    """A path of the file; one that is not absolute is taken from the file's own directory."""
+    return (beside.parent / Path(path).expanduser()).absolute()
--- a/oakbridge/node/downstream.py
+++ b/oakbridge/node/downstream.py
@@ -433,7 +433,8 @@
         except OSError:
             self._close_door()
             raise
-        self.address: Address = self._socks[0].getsockname()
+        self.addresses: list[Address] = [sock.getsockname() for sock in self._socks]
+        self.address = self.addresses[0]
 
     def _listen(self, address: Address) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -450,6 +451,10 @@
             sock.close()
         self._socks = []
 
+    def callers(self) -> int:
+        """How many connections callers have."""
+        return len(self._callers)
+
     def start(self) -> None:
         """Accept."""
         if not self._accepting and self._socks:
--- /dev/null
+++ b/oakbridge/policy/view.py
@@ -0,0 +1,75 @@
+"""What a balancer believes at a moment, for those who look from outside.  It decides nothing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from oakbridge.policy.balancer import Balancer, Server
+
+
+@dataclass(frozen=True, slots=True)
+class ServerView:
+    """What one copy knows of one server; times in seconds."""
+
+    name: str
+    state: str  # up, cold, ejected, drains (may not be sent to, and has calls out)
+    zone: str
+    address: str
+    subset: bool
+    out: int
+    ejected_for: float
+    warmth: float
+    slowness: float
+    cap: float | None  # own calls that it takes, once it has turned one away
+    since_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerView:
+    """What one copy knows as a whole."""
+
+    list_version: int
+    servers: int
+    subset: int
+    ejected: int
+    out: int
+    limit: float
+    waiting: int
+    open_requests: int
+    retries_left: float
+    attempts_per_s: float
+    fail_rate: float
+    rows: list[ServerView]
+
+
+def _row(b: Balancer, s: Server, subset: set[str], now: int) -> ServerView:
+    warmth, ejected = b.warmth(s, now), max(0, s.ejected_until - now) / 1e6
+    listed = s.id in b.servers
+    state = "drains" if not listed else "ejected" if ejected else "cold" if warmth < 1 else "up"
+    cap = None if s.cap == float("inf") else round(s.cap, 1)
+    return ServerView(
+        s.id, state, s.zone, s.place, s.id in subset, len(s.out), round(ejected, 3), round(warmth, 3),
+        round(b.slowness(s, now), 3), cap, s.joined,
+    )  # fmt: skip
+
+
+def view(b: Balancer, now: int, most: int = 200) -> BalancerView:
+    """The state now, with the rows of at most so many servers: those with most to tell first."""
+    subset = {s.id for s in b.subset}
+    shown = sorted(
+        b.known.values(), key=lambda s: (s.ejected_until <= now, -len(s.out), s.id not in subset, s.id)
+    )
+    return BalancerView(
+        list_version=b.version,
+        servers=len(b.servers),
+        subset=len(subset),
+        ejected=sum(1 for s in b.servers.values() if s.ejected_until > now),
+        out=b.admission.out,
+        limit=round(b.admission.limit, 1),
+        waiting=b.admission.waiting,
+        open_requests=len(b.calls),
+        retries_left=round(b.budget.left(now), 2),
+        attempts_per_s=round(b.budget.per_second(now), 1),
+        fail_rate=round(b.failed_lately, 4),
+        rows=sorted((_row(b, s, subset, now) for s in shown[:most]), key=lambda r: r.name),
+    )
--- a/oakbridge/sources/files.py
+++ b/oakbridge/sources/files.py
@@ -21,7 +21,7 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from oakbridge.node.listing import Entry, Listener, Listing
+from oakbridge.node.listing import ConfigError, Entry, Listener, Listing
 from oakbridge.policy import vocabulary as api
 from oakbridge.sources import versions as v
 from oakbridge.sources.formats import (
@@ -34,6 +34,7 @@
     parse,
     split_checksum,
 )
+from oakbridge.sources.locate import located
 
 log = logging.getLogger(__name__)
 T = TypeVar("T")
@@ -44,6 +45,7 @@
 POLL_ALONE_S = 0.1  # how often to look where no changes are told
 RACY_NS = 2_000_000_000  # a file changed so lately may change again within its time stamp's grain
 SAVED_FORMAT = 1
+LINES_UP_TO = 64 * 1024  # bytes in which a mistake's line is found: longer texts would hold the loop up
 
 
 class CantRead(Exception):
@@ -251,7 +253,7 @@
         self._stamped: tuple[tuple[Any, ...], v.Reading] | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._threads = ThreadPoolExecutor(2, "server-file")
-        self._stopping = False
+        self._started = False
         self.notified = False  # whether changes are told, or found by looking alone
         self.decided = asyncio.Event()  # set once the first look has led to something
 
@@ -264,8 +266,53 @@
             listener.listed(Listing(used.number, True, list(used.servers.values())), saved=True)
             log.info("version %d, as saved, is in use until the file is read", used.number)
 
+    async def ready(self) -> None:
+        """Wait for a version to be in use.  Raises ConfigError where the first look finds none to use."""
+        while self.versions.used is None:
+            if (refused := self.versions.refused) is not None:
+                raise ConfigError("\n".join(map(str, refused.problems)))
+            if self.versions.missing:
+                raise ConfigError(self.versions.missing)
+            await self.decided.wait()
+            self.decided.clear()
+
+    def describe(self) -> dict[str, Any]:
+        """What is in use, and why nothing newer is, for whoever asks."""
+        s, now = self.versions.status(), self.now()
+        told: dict[str, Any] = {
+            "kind": "directory" if self.options.directory else "file",
+            "path": str(self.options.path),
+            "told_of_changes": self.notified,
+            "missing": s.missing,
+            "saved": s.saved,
+            "save_error": s.save_error,
+            "used": None,
+            "held": None,
+            "refused": None,
+        }
+        if s.used is not None:
+            age = (now - s.used_at) / 1e6 if s.used_at else None
+            told["used"] = {
+                "number": s.used.number, "digest": s.used.digest, "servers": len(s.used.servers), "for_s": age
+            }  # fmt: skip
+        if s.held is not None:
+            change = s.held.change
+            told["held"] = {
+                "digest": change.digest, "lost": change.lost, "of": change.of, "for_s": (now - s.held.since) / 1e6
+            }  # fmt: skip
+        if s.refused is not None:
+            told["refused"] = {
+                "digest": s.refused.digest,
+                "problems": [str(p) for p in s.refused.problems],
+                "for_s": (now - s.refused.since) / 1e6,
+            }
+        return told
+
     def start(self) -> None:
-        """Begin to look and to listen."""
+        """Begin to look and to listen; calling it again changes nothing."""
+        if self._started:
+            return
+        self._started = True
         self._spawn(self._looking())
         if self.options.notify:
             self._spawn(self._listening())
@@ -279,7 +326,6 @@
 
     def stop(self) -> None:
         """Look no more."""
-        self._stopping = True
         for task in self._tasks:
             task.cancel()
         self._threads.shutdown(wait=False, cancel_futures=True)
@@ -405,8 +451,11 @@
     @staticmethod
     def _compare(files: list[File], action: v.Check, now: int) -> v.Change | list[Problem]:
         """In a thread: parse, and find what changes."""
-        pause = rest if sum(len(f.data) for f in files) > 16_384 else lambda: None
+        total = sum(len(f.data) for f in files)
+        pause = rest if total > 16_384 else lambda: None
         parsed = parse(files, pause)
+        if parsed.problems and total <= LINES_UP_TO:
+            return located(files, parsed.problems)
         return parsed.problems or v.compare(action.base, action.digest, parsed, now, pause)
 
     async def _apply(self, action: v.Apply) -> None:
@@ -420,6 +469,7 @@
         gone = [Entry(api.ListedServer(name, api.GONE), ("0.0.0.0", 0)) for name in change.gone]
         self._listener.listed(Listing(action.version.number, whole, entries + gone))
         self._do(self.versions.applied(self.now(), action.version.number))
+        self.decided.set()
 
     async def _save(self, version: v.Version) -> None:
         error, path = "", self.options.saved
--- a/oakbridge/sources/formats.py
+++ b/oakbridge/sources/formats.py
@@ -29,7 +29,7 @@
 
 _CHECKSUM = re.compile(rb"\n?#[ \t]*sha256:[ \t]*([0-9a-fA-F]{64})[ \t]*\r?\n?\Z")
 _STATES = {"ready": api.UP, "up": api.UP, "draining": api.DRAINING}
-_BOM = b"\xef\xbb\xbf"
+BOM = b"\xef\xbb\xbf"
 
 Path = tuple[str | int, ...]
 
@@ -261,9 +261,7 @@
     """A file's value; raises Problem's text with the line where the text stops making sense."""
     if len(file.data) > MAX_BYTES:
         raise Unreadable(f"expected at most {MAX_BYTES} bytes, got {len(file.data)}")
-    content, stated = split_checksum(
-        file.data.removeprefix(_BOM) if file.data.startswith(_BOM) else file.data
-    )
+    content, stated = split_checksum(file.data.removeprefix(BOM))
     if stated is not None and checksum_holds(file.data) is False:
         raise Unreadable("the content is not what its checksum line says: changed or cut")
     try:
--- /dev/null
+++ b/oakbridge/standin/server.py
@@ -0,0 +1,110 @@
+"""A stand-in server on a loopback socket: HTTP/1.1 as the platform's servers speak it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from typing import Any
+
+import httptools
+
+from oakbridge.standin.behaviour import Behaviour, Desk
+
+MAX_BODY = 64 * 1024
+
+
+class StandIn:
+    """One server.  ``served`` counts its answers by status; ``last`` is when the newest request came."""
+
+    def __init__(self, name: str, behaviour: Behaviour, seed: int = 0) -> None:
+        self.name = name
+        self.desk = Desk(behaviour, seed)
+        self.served: Counter[int] = Counter()
+        self.address = ("127.0.0.1", 0)
+        self._slots = asyncio.Semaphore(behaviour.slots)
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on loopback."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Connection(self), "127.0.0.1", port, backlog=1024)
+        self.address = self._server.sockets[0].getsockname()
+
+    def stop(self) -> None:
+        """End at once: connections are reset."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.abort()
+
+    async def work(self) -> int | None:
+        """Treat one request; returns its status, None for never."""
+        fate = self.desk.come()
+        if fate is None:
+            self.served[503] += 1
+            return 503
+        self.desk.waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self.desk.waiting -= 1
+        self.desk.busy += 1
+        try:
+            await asyncio.sleep(fate.takes if fate.status else 3600)
+        finally:
+            self.desk.busy -= 1
+            self._slots.release()
+        self.served[fate.status] += 1
+        return fate.status
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, server: StandIn) -> None:
+        self._server = server
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._named: dict[bytes, bytes] = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server._connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._server._connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.abort()
+
+    def on_message_begin(self) -> None:
+        self._named = {}
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._named[name.lower()] = value
+
+    def on_message_complete(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(
+            self._answer(self._named.get(b"x-request-id", b""))
+        )
+
+    async def _answer(self, request: bytes) -> None:
+        status = await self._server.work()
+        if self._transport is None or status is None:
+            return
+        body = json.dumps({"server": self._server.name, "request": request.decode("latin-1")}).encode()
+        unseen = b"X-Not-Processed: 1\r\n" if status == 503 else b""
+        head = b"HTTP/1.1 %d Answer\r\nContent-Length: %d\r\n%s\r\n" % (status, len(body), unseen)
+        self._transport.write(head + body)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -34,11 +34,11 @@
 }  # fmt: skip
 
 
-def run(coroutine):
+def run(coroutine, limit: float = 2 * LIMIT):
     """Run a test's coroutine; it may not hang."""
 
     async def limited():
-        return await asyncio.wait_for(coroutine, 2 * LIMIT)
+        return await asyncio.wait_for(coroutine, limit)
 
     return asyncio.run(limited())
 
