Add the agent, which runs a host's nodes and changes them over whole or not at all

Need: hundreds of nodes and no way to change one setting on all of them and know which took it. This is the host's half of it.

--- a/oakbridge/cli/main.py
+++ b/oakbridge/cli/main.py
@@ -15,6 +15,8 @@
     "servers": "oakbridge.cli.servers",
     "status": "oakbridge.cli.status",
     "demo": "oakbridge.cli.demo",
+    "agent": "oakbridge.cli.agent",
+    "fleet": "oakbridge.cli.fleet",
 }
 
 
@@ -46,7 +48,7 @@
 def main() -> int:
     """Run the command line; returns the exit code."""
     try:
-        cli.main(prog_name="oakbridge", standalone_mode=False)
+        code = cli.main(prog_name="oakbridge", standalone_mode=False)
     except click.exceptions.Exit as e:
         return e.exit_code
     except click.Abort:
@@ -57,4 +59,4 @@
         return e.exit_code
     except BrokenPipeError:
         return 1
-    return 0
+    return code if isinstance(code, int) else 0  # of an Exit, which comes back as its code
--- a/oakbridge/cli/serve.py
+++ b/oakbridge/cli/serve.py
@@ -9,6 +9,7 @@
 import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import click
@@ -16,16 +17,39 @@
 from oakbridge.__main__ import main as serve_platform
 from oakbridge.__main__ import start_log
 from oakbridge.cli.common import BadInput, Failed
-from oakbridge.config.load import BadFile, Loaded, inline_entries, load
+from oakbridge.config.load import BadFile, Loaded, default_socket, inline_entries, load
 from oakbridge.config.schema import resolved
 from oakbridge.control.server import ControlServer
 from oakbridge.control.state import NodeControl
 from oakbridge.node.clock import Clock
-from oakbridge.node.listing import ConfigError, Source
+from oakbridge.node.listing import ConfigError, Source, parse_address
 from oakbridge.node.node import Node
 from oakbridge.node.run import serve
 from oakbridge.sources.files import FileOptions, FileSource, InlineSource
 
+
+@dataclass(frozen=True, slots=True)
+class Given:
+    """What the command was told: the file, and what goes before it (one file then serves many nodes)."""
+
+    path: Path
+    name: str | None
+    listen: tuple[str, ...]
+    control: Path | None
+
+    def load(self) -> Loaded:
+        """The configuration with all that goes before it.  Raises BadFile or ConfigError."""
+        loaded = load(self.path)
+        config, control = loaded.config, loaded.control
+        if self.name is not None:
+            config = replace(config, name=self.name)
+            control = default_socket(self.name) if loaded.file.control.socket is None else control
+        if self.listen:
+            first, *others = map(parse_address, self.listen)
+            config = replace(config, listen=first, also_listen=tuple(others))
+        return replace(loaded, config=config, control=self.control or control)
+
+
 FIRST_LOOK_S = 10.0  # in which a server file must have been read at the start
 
 
@@ -80,7 +104,7 @@
     if loaded.control is None:
         yield
         return
-    server = ControlServer(loaded.control, NodeControl(node).handle)
+    server = ControlServer(loaded.control, NodeControl(node, loaded.digest).handle)
     await server.start()
     try:
         yield
@@ -88,15 +112,22 @@
         server.close()
 
 
-def reload(path: Path, node: Node) -> None:
+def reload(given: Given, node: Node) -> None:
     """Read the file anew, and look at the servers.  Raises with every mistake; then nothing has changed."""
-    node.reload(load(path).config)
+    node.reload(given.load().config)
     node.source.fetch()
 
 
 @click.command("serve")
 @click.option("--config", "path", type=click.Path(path_type=Path), help="The configuration, a TOML file.")
-def command(path: Path | None) -> None:
+@click.option("--name", default=None, help="The node's name, in place of the file's.")
+@click.option(
+    "--listen", multiple=True, help="Where callers connect, in place of the file's; may be given again."
+)
+@click.option(
+    "--control", "socket_path", type=click.Path(path_type=Path), help="The control socket's path, likewise."
+)
+def command(path: Path | None, name: str | None, listen: tuple[str, ...], socket_path: Path | None) -> None:
     """Run one node until SIGTERM; SIGHUP reads its configuration anew.
 
     Without --config the platform's environment tells all (NODE_CONFIG and its kin).
@@ -105,9 +136,10 @@
         if not os.environ.get("NODE_CONFIG"):
             raise BadInput("serve: expected --config FILE (docs/getting-started.md has one to begin with)")
         raise click.exceptions.Exit(serve_platform())
+    given = Given(path, name, listen, socket_path)
     try:
-        loaded = load(path)
-    except BadFile as e:
+        loaded = given.load()
+    except (BadFile, ConfigError) as e:
         raise BadInput(str(e)) from None
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens to it: it ends no node
     start_log(getattr(logging, loaded.file.log.level.upper()))
@@ -116,7 +148,7 @@
         asyncio.run(
             serve(
                 lambda loop: started(loaded, loop),
-                lambda node: reload(path, node),
+                lambda node: reload(given, node),
                 lambda node: control(loaded, node),
             )
         )
--- a/oakbridge/config/load.py
+++ b/oakbridge/config/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import os
 import re
 import secrets
@@ -41,6 +42,7 @@
     file: schema.File
     config: Config
     control: Path | None  # of the control socket
+    digest: str  # of the file's bytes
 
 
 def load(path: Path) -> Loaded:
@@ -52,7 +54,7 @@
     except OSError as e:
         raise BadFile([Problem(str(path), (), e.strerror or str(e))]) from None
     file = check(data, str(path))
-    return Loaded(path, file, _node_config(file), control_socket(file))
+    return Loaded(path, file, _node_config(file), control_socket(file), hashlib.sha256(data).hexdigest())
 
 
 def check(data: bytes, name: str) -> schema.File:
--- a/oakbridge/control/state.py
+++ b/oakbridge/control/state.py
@@ -20,8 +20,9 @@
 class NodeControl:
     """Answers for one node."""
 
-    def __init__(self, node: Node) -> None:
-        self.node, self.started = node, time.time()
+    def __init__(self, node: Node, config_digest: str = "") -> None:
+        """``config_digest``: of the configuration that the node was started with."""
+        self.node, self.started, self._digest = node, time.time(), config_digest
 
     def handle(self, request: protocol.Request) -> Any:
         """Answer one request.  Raises :class:`protocol.Refusal` or ValueError with the reason."""
@@ -55,6 +56,7 @@
             "name": node.config.name,
             "pid": os.getpid(),
             "version": __version__,
+            "config_digest": self._digest,
             "uptime_s": round(time.time() - self.started, 1),
             "listen": ["{}:{}".format(*address) for address in node.server.addresses],
             "ready": node.serving() and not node.server.leaving,
--- /dev/null
+++ b/tests/agent/test_store.py
@@ -0,0 +1,238 @@
+"""The agent's disk: whole or not at all, one agent at a time, and a SIGKILL before every single write of it."""
+
+import json
+import os
+import signal
+import sqlite3
+import subprocess
+import sys
+import textwrap
+from pathlib import Path
+
+import pytest
+from peers import LIMIT
+
+from oakbridge.agent.instance import Generation, Instance, Outcome, Record, State, Step, Verdict
+from oakbridge.agent.lease import Promise
+from oakbridge.agent.store import KEPT, Store, StoreError, decode, digest_of, encode
+
+ROOT = Path(__file__).parents[2]
+FILES = {"oakbridge.toml": "a = 1\n", "servers.toml": "é\n"}
+
+
+@pytest.fixture
+def store(tmp_path):
+    store = Store(tmp_path / "state")
+    yield store
+    store.close()
+
+
+def generation(number: int, files=FILES) -> Generation:
+    return Generation(number, digest_of(files))
+
+
+def test_records_and_promises_come_back(tmp_path):
+    step = Step("s", 3, Generation(3, "x"), 2, 7)
+    record = Record(
+        State.WATCHING,
+        Generation(2, "y"),
+        Generation(1, "z"),
+        step,
+        "",
+        (Outcome("r", Verdict.UNDONE, "why"),),
+    )
+    assert decode(encode(record)) == record
+    first = Store(tmp_path)
+    first.keep_instance("a", {"listen": ["127.0.0.1:1"]}, Record())
+    first.keep_record("a", record)
+    first.keep_promise(Promise(9, "kari", 5.0, False))
+    first.close()
+    again = Store(tmp_path)
+    assert again.instances() == {"a": ({"listen": ["127.0.0.1:1"]}, record)}
+    assert again.promise() == Promise(9, "kari", 5.0, False)
+    again.forget_instance("a")
+    assert again.instances() == {}
+    again.close()
+
+
+def test_a_second_agent_is_told_that_there_is_one(store):
+    with pytest.raises(StoreError, match="another agent runs here"):
+        Store(store.folder)
+
+
+@pytest.mark.parametrize("spoil", ["not a database at all" * 100, None])
+def test_a_state_that_can_not_be_used_is_named(tmp_path, spoil):
+    Store(tmp_path).close()
+    for extra in tmp_path.glob("agent.db-*"):
+        extra.unlink()
+    if spoil is not None:
+        (tmp_path / "agent.db").write_text(spoil)
+    else:
+        with sqlite3.connect(tmp_path / "agent.db") as db:
+            db.execute("UPDATE facts SET value = '99' WHERE name = 'format'")
+        db.close()
+    with pytest.raises(StoreError, match="agent.db|format 1, got 99"):
+        Store(tmp_path)
+
+
+def test_a_generation_is_staged_shown_and_read(store):
+    one, two = generation(1), generation(2, {"oakbridge.toml": "b"})
+    store.stage("a", one, FILES)
+    store.flip("a", one)
+    assert (store.shown("a"), store.read("a", one)) == (1, FILES)
+    assert (store.current("a") / "servers.toml").read_text() == "é\n"
+    store.stage("a", two, {"oakbridge.toml": "b"})
+    assert store.shown("a") == 1
+    store.flip("a", two)
+    store.unstage("a", two)  # it is shown: it stays
+    store.unstage("a", one)
+    assert store.shown("a") == 2 and not store.place("a", one).exists()
+    with pytest.raises(StoreError, match="expected a staged generation"):
+        store.flip("a", one)
+    store.flip("a", Generation())
+    assert store.shown("a") == 0
+
+
+@pytest.mark.parametrize(
+    ("files", "says"),
+    [
+        ({}, "expected 1 to 64"), ({"../x": "1"}, "letters, digits"), ({"a/b": "1"}, "letters, digits"),
+        ({".hidden": "1"}, "letters, digits"), ({"a": "x" * 40_000_000}, "at most"),
+        ({f"f{i}": "" for i in range(65)}, "expected 1 to 64"),
+    ],
+)  # fmt: skip
+def test_files_that_may_not_be_written_are_refused(store, files, says):
+    with pytest.raises(StoreError, match=says):
+        store.stage("a", generation(1, files), files)
+    assert not store.place("a", generation(1)).exists()
+
+
+def test_files_of_another_digest_are_refused(store):
+    with pytest.raises(StoreError, match="not those of the digest"):
+        store.stage("a", Generation(1, "0" * 64), FILES)
+
+
+@pytest.mark.parametrize("name", ["", "..", "a/b", "x" * 101, ".a", "a b"])
+def test_names_stay_inside_the_state(store, name):
+    with pytest.raises(StoreError):
+        store.current(name)
+
+
+def test_old_generations_go_but_for_those_that_are_needed(store):
+    for n in range(1, 20):
+        store.stage("a", generation(n), FILES)
+    store.flip("a", generation(2))
+    store.tidy("a", Record(current=generation(2), previous=generation(1)))
+    left = sorted(int(p.name[4:]) for p in store.current("a").parent.glob("gen-*"))
+    assert left == [1, 2, *range(20 - KEPT, 20)]
+
+
+# ---- killed at every step
+
+
+DRIVER = """
+    import json, os, signal, sys
+    from pathlib import Path
+    from oakbridge.agent import store as s
+    from oakbridge.agent.changer import Changer
+    from oakbridge.agent.instance import Generation, Instance, Record, Step
+
+    folder, kill_at, fate = Path(sys.argv[1]), int(sys.argv[2]), sys.argv[3]
+    count = 0
+
+    def counted(name, what):
+        def call(*args, **named):
+            global count
+            for moment in ("before", "after"):
+                count += 1
+                if count == kill_at:
+                    print(json.dumps([name, moment]), flush=True)
+                    os.kill(os.getpid(), signal.SIGKILL)
+                if moment == "before":
+                    result = what(*args, **named)
+            return result
+        return call
+
+    if kill_at:  # every way in which the store touches the disk
+        s.Store._write = counted("journal", s.Store._write)
+        s.os.fsync = counted("fsync", os.fsync)
+        s.os.rename = counted("rename", os.rename)
+        s.os.symlink = counted("symlink", os.symlink)
+        s.shutil.rmtree = counted("rmtree", s.shutil.rmtree)
+
+    store = s.Store(folder)
+    spec, record = store.instances()["a"]
+    machine = Instance(record)
+    now, ran = 0, []
+    check = lambda place: "bad" if "bad" in (place / "oakbridge.toml").read_text() else ""
+    changer = Changer(store, "a", machine, check, lambda g: ran.append(g.number), lambda at: None)
+    changer.carry_out(now, machine.recover(now))
+    text = {"took": "new", "bad": "bad", "dies": "new"}[fate]
+    files = {"oakbridge.toml": text}
+    target = Generation(2, s.digest_of(files))
+    if machine.outcome("s") is None:
+        changer.order(now, Step("s", 2, target, 1, 10), files, lambda: "")
+    if machine.state.value == "watching":
+        if fate == "dies":
+            changer.carry_out(now, machine.failed(now, "exit 1"))
+        else:
+            machine.ready(now)
+            changer.carry_out(100, machine.tick(100))
+    print(json.dumps({"count": count, "ran": ran[-1] if ran else None}), flush=True)
+    store.close()
+"""
+
+
+def drive(folder: Path, kill_at: int, fate: str) -> tuple[int, str]:
+    done = subprocess.run(
+        [sys.executable, "-c", textwrap.dedent(DRIVER), str(folder), str(kill_at), fate],
+        env=os.environ | {"PYTHONPATH": str(ROOT)}, capture_output=True, text=True, timeout=LIMIT,
+    )  # fmt: skip
+    assert done.stderr == ""
+    return done.returncode, done.stdout
+
+
+def fresh(folder: Path) -> None:
+    store = Store(folder)
+    one = {"oakbridge.toml": "old"}
+    store.keep_instance("a", {}, Record(current=generation(1, one)))
+    store.stage("a", generation(1, one), one)
+    store.flip("a", generation(1, one))
+    store.close()
+
+
+@pytest.mark.parametrize(("fate", "text"), [("took", "new"), ("bad", "old"), ("dies", "old")])
+def test_killed_before_and_after_every_write_it_comes_to_the_same_end(tmp_path, fate, text):
+    """The list of kills is every touch of the disk in turn, not a draw; then the agent starts again and goes on."""
+    verdicts = {"took": {"took it"}, "bad": {"did not"}, "dies": {"undone"}}
+    kill_at, seen = 1, []
+    while True:
+        folder = tmp_path / str(kill_at)
+        fresh(folder)
+        code, out = drive(folder, kill_at, fate)
+        if code == 0:
+            break
+        assert code == -signal.SIGKILL
+        seen.append(tuple(json.loads(out.splitlines()[0])))
+        store = Store(folder)  # between two generations at no moment
+        number = store.shown("a")
+        record = store.instances()["a"][1]
+        assert store.read("a", Generation(number)) == {"oakbridge.toml": "old" if number == 1 else "new"}
+        store.close()
+        if fate == "bad":
+            assert number == 1
+        # Killed while it was staged: the step is over, as *did not*; else it goes on to the end it would have had.
+        code, _ = drive(folder, 0, fate)
+        assert code == 0
+        store = Store(folder)
+        record = store.instances()["a"][1]
+        [outcome] = record.outcomes
+        ended_by_the_kill = outcome.reason == "the agent ended while it was staged"
+        assert outcome.verdict.value in (verdicts[fate] | ({"did not"} if ended_by_the_kill else set()))
+        wanted = "old" if ended_by_the_kill else text
+        assert store.read("a", record.current) == {"oakbridge.toml": wanted}
+        assert store.shown("a") == record.current.number and record.state is State.SETTLED
+        store.close()
+        kill_at += 1
+    assert len(seen) >= 15 and len({name for name, _ in seen}) >= 3
+    assert Instance(record).state is State.SETTLED
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -174,7 +174,9 @@
         done.returncode == 2 and "servers.toml:4: server[0].weight: expected a number above 0" in done.stderr
     )
     config.write_text(config.read_text().replace('"1s"', '"x"').replace('"safe"', '"y"'))
-    told = json.loads(call("check", config, "--json").stdout)
+    done = call("check", config, "--json")
+    assert done.returncode == 2
+    told = json.loads(done.stdout)
     assert [p["line"] for p in told["problems"]] == [10, 12] and told["ok"] is False
     (tmp_path / "servers.toml").write_text(SERVERS.format("a", 1))
     done = call("check", written(tmp_path))
--- /dev/null
+++ b/tests/fleet/test_wire.py
@@ -0,0 +1,99 @@
+"""The protocol's messages: what is read is what was written, and anything else is named."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oakbridge.fleet.wire import (
+    READ,
+    WRITE,
+    Acquire,
+    BadMessage,
+    Fetch,
+    Identity,
+    Release,
+    Status,
+    StepOrder,
+    needed_role,
+    read,
+    write,
+)
+
+STEP = StepOrder(3, "s-1", "n1", 3, 2, 5_000_000, {"oakbridge.toml": "é"})
+
+
+@pytest.mark.parametrize(
+    ("request_", "role"),
+    [
+        (Status(), READ), (Fetch("n1", 7), READ), (Acquire(4, 60_000_000), WRITE),
+        (Acquire(4, 60_000_000, renew=True), WRITE), (Release(4), WRITE), (STEP, WRITE),
+    ],
+)  # fmt: skip
+def test_what_is_read_is_what_was_written(request_, role):
+    assert read(*write(request_)) == request_
+    assert needed_role(request_) == role
+
+
+def body(**changes) -> bytes:
+    return json.dumps({**json.loads(write(STEP)[2]), **changes}).encode()
+
+
+@pytest.mark.parametrize(
+    ("path", "data", "says"),
+    [
+        ("/v2/status", b"", "expected /v1/"),
+        ("/v1/step", b"[]", "body: expected a JSON object"),
+        ("/v1/step", b"[" * 100_000, "body: expected a JSON object"),
+        ("/v1/step", b"\xff", "body: expected a JSON object"),
+        ("/v1/step", body(token=0), "token: expected a whole number from 1"),
+        ("/v1/step", body(token=True), "token: expected a whole number"),
+        ("/v1/step", body(token=10**30), "token: expected a whole number"),
+        ("/v1/step", body(watch_s=-1), "watch_s: expected seconds above 0"),
+        ("/v1/step", body(watch_s=float("nan")), "watch_s: expected a number of seconds"),
+        ("/v1/step", body(id=""), "id: expected a text"),
+        ("/v1/step", body(id="x" * 201), "id: expected a text"),
+        ("/v1/step", body(files={"a": 1}), "files: expected an object of texts"),
+        ("/v1/step", body(files=None), "files: expected an object of texts"),
+        (
+            "/v1/lease/acquire",
+            b'{"token": 1, "length_s": 601}',
+            "length_s: expected seconds above 0, up to 600",
+        ),
+    ],
+)
+def test_a_message_that_is_none_is_named(path, data, says):
+    with pytest.raises(BadMessage, match=says):
+        read("POST", path, data)
+
+
+@pytest.mark.parametrize(
+    ("method", "path"), [("GET", "/v1/step"), ("POST", "/v1/x"), ("PUT", "/v1/step"), ("GET", "/v1")]
+)
+def test_other_paths_are_nothing(method, path):
+    assert read(method, path, b"{}") is None
+
+
+@given(st.sampled_from(["GET", "POST"]), st.text(max_size=30), st.binary(max_size=100))
+@settings(derandomize=True, max_examples=300)
+def test_no_bytes_make_the_reader_fail(method, path, data):
+    for start in ("", "/v1/", "/v1/generation/", "/v1/lease/acquire", "/v1/step"):
+        try:
+            read(method, start + path, data)
+        except BadMessage as e:
+            assert "\n" not in str(e)
+
+
+def test_identities_go_round_and_others_are_refused():
+    who = Identity("bergen", "operator", "kari", WRITE)
+    assert Identity.parse(who.uri()) == who
+    for bad in (
+        "",
+        "oakbridge:a/b/c/d",
+        "other:bergen/agent/a/read",
+        "oakbridge:a/agent/b",
+        "oakbridge:a/agent//read",
+    ):
+        with pytest.raises(BadMessage):
+            Identity.parse(bad)
