Roll a change out over many instances in waves with gates, and say what became of each

Need: the operators' half of the fleet: one change on all nodes, an answer to which took it, and an end that is not half of one, also with silent hosts, killed tools and two operators.

Nodes count their answers. An instance is watched from when it is ready, not from the flip: with a watch of a second the old process had hardly ended (seen as an undone step in the first whole rollout).

--- a/oakbridge/agent/instance.py
+++ b/oakbridge/agent/instance.py
@@ -18,6 +18,7 @@
 
 SECOND = 1_000_000
 NOTHING = "nothing"  # the digest of the generation that there is before the first
+READY_WITHIN = 20 * SECOND  # after the flip: the old process has to end in order, and the new one to start
 REMEMBERED = 64  # outcomes of steps that are kept, for replies that were lost
 
 
@@ -55,7 +56,7 @@
     token: int
     target: Generation
     base: int
-    watch: int = 5 * SECOND  # for how long it must run well before it is kept
+    watch: int = 5 * SECOND  # for how long it must run well, once it is ready, before it is kept
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +138,7 @@
     def __init__(self, record: Record | None = None) -> None:
         self.record = record or Record()
         self._ready = False
-        self._watched_until = 0
+        self._due = 0  # when the watch ends, or the node must be ready
 
     @property
     def state(self) -> State:
@@ -202,8 +203,11 @@
 
     def ready(self, now: int) -> list[Action]:
         """The process serves, by what the link shows."""
+        if self._ready or self.record.state is not State.WATCHING or self.record.step is None:
+            return []
         self._ready = True
-        return []
+        self._due = now + self.record.step.watch
+        return [Wake(self._due)]
 
     def failed(self, now: int, how: str) -> list[Action]:
         """The process has crashed, or what it says of itself is not good enough."""
@@ -215,10 +219,10 @@
         r = self.record
         if r.state is State.UNDOING:
             return [Flip(r.current)]
-        if r.state is not State.WATCHING or r.step is None or now < self._watched_until:
+        if r.state is not State.WATCHING or r.step is None or now < self._due:
             return []
         if not self._ready:
-            return self._undo("it was not ready within the time that it was watched for")
+            return self._undo(f"it was not ready within {READY_WITHIN // SECOND} s")
         step = r.step
         moved = dataclasses.replace(r, current=step.target, previous=r.current)
         self.record = moved
@@ -247,8 +251,8 @@
     def _watch(self, now: int) -> list[Action]:
         assert self.record.step is not None
         self._ready = False
-        self._watched_until = now + self.record.step.watch
-        return [Wake(self._watched_until)]
+        self._due = now + READY_WITHIN
+        return [Wake(self._due)]
 
     def _undo(self, reason: str) -> list[Action]:
         return [self._keep(state=State.UNDOING, reason=reason), Flip(self.record.current)]
--- a/oakbridge/cli/fleet.py
+++ b/oakbridge/cli/fleet.py
@@ -110,7 +110,8 @@
     click.echo(f"operator {name} may {role}: {stem}.crt, {stem}.key")
 
 
-def _operator(folder: Path, name: str, within_s: float) -> Operator:
+def operator_of(folder: Path, name: str, within_s: float) -> Operator:
+    """An operator's end of the protocol, by the fleet's folder and the name of its certificate."""
     inventory = _read(folder)
     if not inventory.agents:
         raise BadInput(f"{folder / FILE}: the fleet has no agents yet (`oakbridge fleet add-agent`)")
@@ -130,7 +131,7 @@
 @click.option("--json", "as_json", is_flag=True, help="All of it, as JSON.")
 def status(folder: Path, operator: str, within: float, as_json: bool) -> None:
     """Show every agent and every instance; exit code 1 if any of them is not known to be well."""
-    asker = _operator(folder, operator, within)
+    asker = operator_of(folder, operator, within)
     heard = asyncio.run(asker.ask_all(wire.Status()))
     rows = [row for h in heard for row in instances(h)]
     if as_json:
--- a/oakbridge/cli/main.py
+++ b/oakbridge/cli/main.py
@@ -16,7 +16,7 @@
     "status": "oakbridge.cli.status",
     "demo": "oakbridge.cli.demo",
     "agent": "oakbridge.cli.agent",
-    "fleet": "oakbridge.cli.fleet",
+    "fleet": "oakbridge.cli.rollout",
 }
 
 
--- a/oakbridge/control/state.py
+++ b/oakbridge/control/state.py
@@ -63,6 +63,7 @@
             "leaving": node.server.leaving,
             "callers": node.server.callers(),
             "connections": node.pool.count,
+            "answers": {"served": node.served, "refused": node.refused, "failed": node.failed},
             **believed,
             "source": source,
             "rows": servers,
--- a/oakbridge/fleet/ask.py
+++ b/oakbridge/fleet/ask.py
@@ -48,22 +48,24 @@
         self.inventory, self._tls, self._within = inventory, tls, within_s
         self._places = asyncio.Semaphore(AT_ONCE)
 
-    async def ask(self, agent: str, request: wire.Request) -> Heard:
+    async def ask(self, agent: str, request: wire.Request, within_s: float | None = None) -> Heard:
         """Ask one agent."""
         async with self._places:
             try:
                 status, answer = await call(
                     self._tls, self.inventory.name, agent, self.inventory.agents[agent],
-                    wire.write(request), self._within,
+                    wire.write(request), within_s or self._within,
                 )  # fmt: skip
             except CallFailed as e:
                 return Heard(agent, error=str(e))
         return Heard(agent, status, answer)
 
-    async def ask_all(self, request: wire.Request, agents: tuple[str, ...] | None = None) -> list[Heard]:
+    async def ask_all(
+        self, request: wire.Request, agents: tuple[str, ...] | None = None, within_s: float | None = None
+    ) -> list[Heard]:
         """Ask many at once; the answers are in the order of the agents."""
         names = tuple(self.inventory.agents) if agents is None else agents
-        return list(await asyncio.gather(*(self.ask(name, request) for name in names)))
+        return list(await asyncio.gather(*(self.ask(name, request, within_s) for name in names)))
 
     async def acquire(self, length_s: float) -> Held:
         """Have the lease for the whole set or not at all: without a majority what was granted is given back."""
@@ -86,6 +88,10 @@
             time.time(),
         )
 
+    async def higher(self, held: Held, length_s: float) -> Held:
+        """A higher token for the same holder, without letting go of the lease in between."""
+        return await self._acquire(held.token + 1, int(length_s * 1e6))
+
     async def release(self, held: Held) -> None:
         """Give the lease back."""
         await self.ask_all(wire.Release(held.token), held.agents)
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -76,6 +76,7 @@
         self.requests: dict[int, Request] = {}
         self.open: set[bytes] = set()  # their ids
         self.count = 0
+        self.served = self.refused = self.failed = 0  # answers since the start
         self._events: deque[api.Event] = deque()
         self._handling = False
         upstream = int((config.sockets - RESERVE) * UPSTREAM_PART)
@@ -315,6 +316,7 @@
         if reply.result == api.Result.OK and not request.answered:
             headers = [(name, value) for name, value in reply.headers if name not in HOP]
             request.caller.answer(request, 200, headers, reply.body)
+            self.served += 1
         result = reply.result
         if result == api.Result.ERROR and 400 <= reply.status < 500 and reply.status not in NOT_FINAL:
             # The server has no use for this request; no other will have, and it is no fault of the server.
@@ -336,6 +338,10 @@
             return
         headers = [(b"retry-after", b"%.3f" % (retry_after / 1e6))] if retry_after else []
         request.caller.answer(request, status, headers, b"")
+        if status == 503:
+            self.refused += 1
+        else:
+            self.failed += 1
         self._forget(request)
 
     def _abandon(self, number: int) -> None:
--- /dev/null
+++ b/oakbridge/rollout/journal.py
@@ -0,0 +1,105 @@
+"""The operator's journal of rollouts: SQLite, one transaction a step; what a killed tool had begun is read back.
+
+It is a memory and not the truth: that is what the agents say.  A journal that is lost costs its rollouts their
+history and a half-done one its ``resume``; a new rollout begins from what the agents run.
+"""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+from oakbridge.rollout.machine import Fate, Record, Row, Stage
+from oakbridge.rollout.plan import Target
+
+FORMAT = 1
+
+
+class JournalError(Exception):
+    """The journal can't be used; the text says what was expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One rollout."""
+
+    id: int  # the token under which it began, and the generation that it brings
+    operator: str
+    began: float
+    changed: float
+    why: str
+    files: dict[str, str]
+    record: Record
+
+
+def encode(record: Record) -> str:
+    """A record as the journal has it."""
+    return json.dumps({
+        "waves": [[[t.agent, t.instance, t.zone, t.base] for t in wave] for wave in record.waves],
+        "unavailable": record.unavailable, "undo": record.undo, "stage": record.stage.value, "wave": record.wave,
+        "rows": [[name, row.fate.value, row.reason, row.since] for name, row in record.rows], "reason": record.reason,
+    })  # fmt: skip
+
+
+def decode(text: str) -> Record:
+    """A record from the journal.  Raises :class:`JournalError`."""
+    try:
+        raw: dict[str, Any] = json.loads(text)
+        waves = tuple(tuple(Target(*t) for t in wave) for wave in raw["waves"])
+        rows = tuple((name, Row(Fate(fate), reason, since)) for name, fate, reason, since in raw["rows"])
+        stage = Stage(raw["stage"])
+        return Record(waves, raw["unavailable"], raw["undo"], stage, raw["wave"], rows, raw["reason"])
+    except (ValueError, KeyError, TypeError) as e:
+        raise JournalError(f"a record that can't be read: {e}") from None
+
+
+class Journal:
+    """The file ``journal.db`` of a fleet's folder."""
+
+    def __init__(self, folder: Path) -> None:
+        """Open it, or make it.  Raises :class:`JournalError`."""
+        path = folder / "journal.db"
+        try:
+            self._db = sqlite3.connect(path, isolation_level=None, timeout=10)
+            self._db.execute("PRAGMA journal_mode = WAL")
+            self._db.execute("PRAGMA synchronous = FULL")
+            version = self._db.execute("PRAGMA user_version").fetchone()[0]
+            if version not in (0, FORMAT):
+                raise JournalError(f"{path}: expected format {FORMAT}, got {version}")
+            columns = "id INTEGER PRIMARY KEY, operator, began REAL, changed REAL, why, files, record"
+            self._db.execute(f"CREATE TABLE IF NOT EXISTS rollouts ({columns})")
+            self._db.execute(f"PRAGMA user_version = {FORMAT}")
+        except sqlite3.DatabaseError as e:
+            raise JournalError(f"{path}: {e}") from None
+
+    def close(self) -> None:
+        """Close it."""
+        self._db.close()
+
+    def add(self, entry: Entry) -> None:
+        """Write a new rollout down."""
+        raw = asdict(entry) | {"files": json.dumps(entry.files), "record": encode(entry.record)}
+        self._db.execute(
+            "INSERT INTO rollouts VALUES (:id, :operator, :began, :changed, :why, :files, :record)", raw
+        )
+
+    def keep(self, rollout: int, record: Record) -> None:
+        """Have a record on disk."""
+        values = encode(record), time.time(), rollout
+        self._db.execute("UPDATE rollouts SET record = ?, changed = ? WHERE id = ?", values)
+
+    def entries(self, last: int = 20) -> list[Entry]:
+        """The newest rollouts, newest first."""
+        rows = self._db.execute("SELECT * FROM rollouts ORDER BY id DESC LIMIT ?", (last,))
+        return [Entry(i, o, b, c, w, json.loads(f), decode(r)) for i, o, b, c, w, f, r in rows]
+
+    def entry(self, rollout: int) -> Entry:
+        """One rollout.  Raises :class:`JournalError`."""
+        found = next((e for e in self.entries(1_000_000) if e.id == rollout), None)
+        if found is None:
+            raise JournalError(f"there is no rollout {rollout}")
+        return found
