Move the judgement of a changed instance from the rollout's shell into the pure gate

Need: whether a changed instance is well was decided in the shell that carries a rollout out, and the folder of control sockets was worked out in two places.

Change: gate.unwell_because, with a test of its own; control/place.py for socket paths; a class and a field that nothing used are gone. Behaviour is the same.

--- a/oakbridge/cli/common.py
+++ b/oakbridge/cli/common.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import sys
 from pathlib import Path
 from typing import Any
@@ -11,6 +10,7 @@
 import click
 
 from oakbridge.control.client import ControlClient, Unreachable
+from oakbridge.control.place import runtime_folder
 
 
 class Failed(click.ClickException):
@@ -66,8 +66,7 @@
         if found is None:
             raise BadInput(f"{config}: control: enabled is false, so this node has no control socket")
         return found
-    runtime = os.environ.get("XDG_RUNTIME_DIR")
-    folder = Path(runtime) / "oakbridge" if runtime else Path(f"/tmp/oakbridge-{os.getuid()}")
+    folder = runtime_folder()
     sockets = sorted(folder.glob("*.sock"))
     if len(sockets) == 1:
         return sockets[0]
--- a/oakbridge/cli/serve.py
+++ b/oakbridge/cli/serve.py
@@ -17,8 +17,9 @@
 from oakbridge.__main__ import main as serve_platform
 from oakbridge.__main__ import start_log
 from oakbridge.cli.common import BadInput, Failed
-from oakbridge.config.load import BadFile, Loaded, default_socket, inline_entries, load
+from oakbridge.config.load import BadFile, Loaded, inline_entries, load
 from oakbridge.config.schema import resolved
+from oakbridge.control.place import default_socket
 from oakbridge.control.server import ControlServer
 from oakbridge.control.state import NodeControl
 from oakbridge.node.clock import Clock
--- a/oakbridge/config/load.py
+++ b/oakbridge/config/load.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import os
 import re
 import secrets
 import tomllib
@@ -15,6 +14,7 @@
 from pydantic_core import ErrorDetails
 
 from oakbridge.config import schema
+from oakbridge.control.place import default_socket
 from oakbridge.node.config import Config
 from oakbridge.node.listing import Entry
 from oakbridge.policy import vocabulary as api
@@ -147,13 +147,6 @@
     return default_socket(file.node.name)
 
 
-def default_socket(name: str) -> Path:
-    """The socket of a node by its name."""
-    runtime = os.environ.get("XDG_RUNTIME_DIR")
-    folder = Path(runtime) / "oakbridge" if runtime else Path(f"/tmp/oakbridge-{os.getuid()}")
-    return folder / f"{re.sub(r'[^A-Za-z0-9._-]', '_', name)}.sock"
-
-
 def _node_config(file: schema.File) -> Config:
     node, limits = file.node, file.limits
     first, *others = node.listen
--- /dev/null
+++ b/oakbridge/control/place.py
@@ -0,0 +1,18 @@
+"""Where a node's control socket is, if nobody says otherwise."""
+
+from __future__ import annotations
+
+import os
+import re
+from pathlib import Path
+
+
+def runtime_folder() -> Path:
+    """The user's folder for sockets."""
+    runtime = os.environ.get("XDG_RUNTIME_DIR")
+    return Path(runtime) / "oakbridge" if runtime else Path(f"/tmp/oakbridge-{os.getuid()}")
+
+
+def default_socket(name: str) -> Path:
+    """The socket of a node by its name."""
+    return runtime_folder() / f"{re.sub(r'[^A-Za-z0-9._-]', '_', name)}.sock"
--- a/oakbridge/rollout/conduct.py
+++ b/oakbridge/rollout/conduct.py
@@ -11,7 +11,7 @@
 from oakbridge.fleet import wire
 from oakbridge.fleet.ask import Heard, Held, Operator
 from oakbridge.rollout import machine as m
-from oakbridge.rollout.gate import Counts, Judgement, Rules, Word, judge
+from oakbridge.rollout.gate import Counts, Judgement, Rules, Word, judge, unwell_because
 from oakbridge.rollout.journal import Journal
 from oakbridge.rollout.plan import Target
 
@@ -32,10 +32,6 @@
     rules: Rules = Rules()
 
 
-class LeaseLost(Exception):
-    """Somebody else has the lease, or too few agents answer; the text says which."""
-
-
 class Conductor:
     """Carries out one rollout."""
 
@@ -53,7 +49,6 @@
             str, tuple[int, float]
         ] = {}  # those that are taken back: under which token, since when
         self._gate: tuple[tuple[Target, ...], dict[str, Counts], float] | None = None
-        self._before: dict[str, Counts] = {}  # what each answered in the window before it changed
         self._first: dict[str, Counts] = {}
         self._queue: deque[m.Action] = deque()
         self._finished: m.Stage | None = None
@@ -215,20 +210,8 @@
         }
         if not others:  # nobody is unchanged any more: what they answered before
             others = self._first
-        unwell = {t.name: why for t in changed if (why := self._unwell(t))}
+        unwell = {t.name: why for t in changed if (why := unwell_because(self._instance(t), self.rollout))}
         self.judgement = judge(mine, others, unwell, self.options.rules, over)
         if self.judgement.word is not Word.WAIT:
             self._gate = None
             self._do(self.machine.judged(self.judgement))
-
-    def _unwell(self, target: Target) -> str:
-        row = self._instance(target)
-        if row is None:
-            return "its agent does not answer"
-        if row["crash_loop"]:
-            return "crash loop"
-        if row["process"] != "running":
-            return f"{row['process']} ({row['last_exit']})"
-        if not row["answers"]:
-            return "silent"
-        return "" if row["generation"] == self.rollout else f"it runs generation {row['generation']}"
--- a/tests/config/test_load.py
+++ b/tests/config/test_load.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from oakbridge.config.load import BadFile, check, default_socket, inline_entries, load
+from oakbridge.config.load import BadFile, check, inline_entries, load
 from oakbridge.config.reference import page
+from oakbridge.control.place import default_socket
 from oakbridge.sources.locate import lines_of
 
 ROOT = Path(__file__).parents[2]
--- a/tests/rollout/test_plan_and_gate.py
+++ b/tests/rollout/test_plan_and_gate.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from oakbridge.rollout.gate import Counts, Rules, Word, judge
+from oakbridge.rollout.gate import Counts, Rules, Word, judge, unwell_because
 from oakbridge.rollout.plan import BadPlan, Target, Waves, plan, spread
 
 
@@ -86,6 +86,17 @@
     assert got.word is Word.FAIL and got.reason == "n1: crash loop (and 1 more)"
 
 
+def test_what_makes_an_instance_unwell():
+    well = {"crash_loop": False, "process": "running", "last_exit": "", "answers": True, "generation": 7}
+    assert unwell_because(well, 7) == ""
+    assert unwell_because(None, 7) == "its agent does not answer"
+    for change, says in (
+        ({"crash_loop": True}, "crash loop"), ({"process": "waiting", "last_exit": "exit 1"}, "waiting (exit 1)"),
+        ({"answers": False}, "silent"), ({"generation": 6}, "it runs generation 6"),
+    ):  # fmt: skip
+        assert unwell_because(well | change, 7) == says
+
+
 def test_a_counter_that_began_anew_counts_from_its_start():
     assert Counts(10, 1, 0).since(Counts(500, 3, 3)) == Counts(10, 1, 0)
     assert Counts(510, 4, 3).since(Counts(500, 3, 3)) == Counts(10, 1, 0)
