--- a/oakbridge/agent/file.py
+++ b/oakbridge/agent/file.py
@@ -11,7 +11,7 @@
 from oakbridge.node.listing import Address, ConfigError, parse_address
 
 MAX_INSTANCES = 200
-KEYS = ("name", "fleet", "listen", "state", "authority", "certificate", "instance")
+KEYS = ("name", "fleet", "zone", "listen", "state", "authority", "certificate", "instance")
 
 
 class BadAgentFile(ValueError):
@@ -29,6 +29,7 @@
     authority: Path
     certificate: Path  # without its ending
     instances: dict[str, list[str]]
+    zone: str = ""
 
 
 class _Reader:
@@ -99,6 +100,7 @@
         reader.text(raw, "name"), reader.text(raw, "fleet"), reader.address(raw.get("listen"), "listen"),
         beside / reader.text(raw, "state"), beside / reader.text(raw, "authority"),
         beside / reader.text(raw, "certificate"), reader.instances(),
+        reader.text(raw, "zone") if "zone" in raw else "",
     )  # fmt: skip
     if reader.problems:
         raise BadAgentFile("\n".join(reader.problems))
--- a/oakbridge/agent/lease.py
+++ b/oakbridge/agent/lease.py
@@ -99,8 +99,3 @@
     def _refuse(self, now: int, reason: str) -> Refused:
         p, left = self.promise, max(0, self._until - now)
         return Refused(reason, p.token, p.holder, p.since, left if self.alive(now) else 0)
-
-
-def majority(of: int) -> int:
-    """How many of so many agents an operator needs: any two such sets share one."""
-    return of // 2 + 1
--- a/oakbridge/agent/process.py
+++ b/oakbridge/agent/process.py
@@ -16,6 +16,9 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
+
+from oakbridge.control import protocol
 
 LOG_MOST = 8 * 1024 * 1024  # a node's log is put aside at its next start once it is longer
 
@@ -109,3 +112,47 @@
     lines = errors.decode("utf-8", "replace").strip().splitlines() or ["the checker says no, and not why"]
     more = f" (and {len(lines) - 1} more)" if len(lines) > 1 else ""
     return lines[0].removeprefix("oakbridge: ")[:500] + more
+
+
+class LocalHost:
+    """This machine."""
+
+    def find(self, control: Path, ended: Callable[[str], None]) -> Process | None:
+        """The node that has this control socket already, if one has."""
+        pid = listener_pid(control)
+        try:
+            return None if pid is None else Process(pid, ended)
+        except OSError:
+            return None
+
+    def start(
+        self,
+        config: Path,
+        name: str,
+        listen: list[str],
+        control: Path,
+        log: Path,
+        ended: Callable[[str], None],
+    ) -> Process:
+        """Start a node.  Raises OSError."""
+        return start(config, name, listen, control, log, ended)
+
+    def last_words(self, log: Path) -> str:
+        """The last line of a node's log."""
+        return last_words(log)
+
+    async def check(self, config: Path) -> str:
+        """What the node's own checker says against a configuration."""
+        return await check(config)
+
+    async def ask(self, control: Path, do: str, **arguments: Any) -> Any:
+        """Ask a node over its control socket."""
+        reader, writer = await asyncio.open_unix_connection(str(control), limit=protocol.MAX_ANSWER)
+        try:
+            writer.write(protocol.request(do, arguments))
+            line = await reader.readline()
+            if not line:
+                raise EOFError
+            return protocol.read_answer(line)
+        finally:
+            writer.transport.abort()
--- a/oakbridge/agent/runner.py
+++ b/oakbridge/agent/runner.py
@@ -14,10 +14,12 @@
 from pathlib import Path
 from typing import Any
 
+from oakbridge import __version__
 from oakbridge.agent import instance as m
 from oakbridge.agent import process
 from oakbridge.agent import supervisor as sup
 from oakbridge.agent.changer import Changer
+from oakbridge.agent.host import Host, Running
 from oakbridge.agent.lease import Granted, Lease, Refused
 from oakbridge.agent.store import Store, StoreError, check_files, check_name, digest_of
 from oakbridge.control import protocol
@@ -26,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 CONFIG = "oakbridge.toml"  # the file of a generation that a node is started with
+DRAINED = "drained"  # a generation with a file of this name is one whose node does not run
 LOOK_S = 0.5  # how often a node is asked how it is
 SILENT_S = 2.0  # a node that does not answer for so long is silent
 
@@ -43,7 +46,7 @@
         self.machine = m.Instance(record)
         self.supervisor = sup.Supervisor()
         self.changer = Changer(agent.store, name, self.machine, lambda _: self._verdict, self.run, self.wake)
-        self.process: process.Process | None = None
+        self.process: Running | None = None
         self.told: dict[str, Any] = {}  # what the node said last
         self.heard = 0.0  # when, Unix time
         self.running = 0  # the generation that the process was started with; 0: not known
@@ -57,6 +60,11 @@
         """The node's log."""
         return self.agent.store.current(self.name).parent / "node.log"
 
+    @property
+    def drained(self) -> bool:
+        """Whether what the link shows says that the node should not run."""
+        return (self.agent.store.current(self.name) / DRAINED).exists()
+
     def begin(self) -> None:
         """Find the node if it runs already, then go on where the journal stands."""
         self._adopt()
@@ -73,14 +81,10 @@
             self.process.leave()
 
     def _adopt(self) -> None:
-        pid = process.listener_pid(self.control)
-        if pid is None:
-            return
-        try:
-            self.process = process.Process(pid, self._ended)
-        except OSError:
+        self.process = self.agent.host.find(self.control, self._ended)
+        if self.process is None:
             return
-        log.info("%s: found running as process %d", self.name, pid)
+        log.info("%s: found running as process %d", self.name, self.process.pid)
         self.supervisor.state, self.supervisor.wanted = sup.State.RUNNING, True
 
     # ---- the machine's side
@@ -96,8 +100,9 @@
 
     def run(self, target: m.Generation) -> None:
         """Have the process run a generation: it is started anew unless it runs it already."""
-        if target.digest == m.NOTHING:
+        if target.digest == m.NOTHING or self.drained:
             self._do(self.supervisor.stop(now_us()))
+            asyncio.get_running_loop().call_soon(self._stopped)  # it may have been stopped before
         elif self.running == target.number and self.supervisor.state is sup.State.RUNNING:
             self._do(self.supervisor.start(now_us()))
         elif self.process is not None and self.running == 0 and self.machine.state is m.State.SETTLED:
@@ -136,7 +141,7 @@
         self.running = self.agent.store.shown(self.name)
         try:
             config = self.agent.store.current(self.name) / CONFIG
-            self.process = process.start(
+            self.process = self.agent.host.start(
                 config, self.name, self.spec["listen"], self.control, self.log, self._ended
             )
         except OSError as e:
@@ -146,18 +151,25 @@
         self.process, self.told = None, {}
         asked = self.supervisor.state is sup.State.STOPPING
         if not asked:
-            how = f"{how}: {process.last_words(self.log)}".removesuffix(": ")
+            how = f"{how}: {self.agent.host.last_words(self.log)}".removesuffix(": ")
             log.warning("%s ended: %s", self.name, how)
         self._do(self.supervisor.exited(now_us(), how))
         if not asked:
             self._carry(self.machine.failed(now_us(), how))
+        self._stopped()
+
+    def _stopped(self) -> None:
+        """A drained instance is as it should be once its node has ended."""
+        if self.drained and self.supervisor.state is sup.State.STOPPED:
+            self._carry(self.machine.ready(now_us()))
 
     async def _look(self) -> None:
         """Ask the node how it is, again and again."""
         while True:
-            await asyncio.sleep(LOOK_S)
+            await asyncio.sleep(self.agent.look_s)
             try:
-                told = await asyncio.wait_for(self._ask("status", rows=0), SILENT_S)
+                async with asyncio.timeout(SILENT_S):
+                    told = await self.agent.host.ask(self.control, "status", rows=0)
             except (OSError, TimeoutError, EOFError, ValueError, protocol.Refusal):
                 self.told = {}
                 continue
@@ -181,17 +193,6 @@
             self._do(self.supervisor.ready(now_us()))
             self._carry(self.machine.ready(now_us()))
 
-    async def _ask(self, do: str, **arguments: Any) -> Any:
-        reader, writer = await asyncio.open_unix_connection(str(self.control), limit=protocol.MAX_ANSWER)
-        try:
-            writer.write(protocol.request(do, arguments))
-            line = await reader.readline()
-            if not line:
-                raise EOFError
-            return protocol.read_answer(line)
-        finally:
-            writer.transport.abort()
-
     def _proven(self, told: dict[str, Any]) -> bool:
         """Whether the node runs what the link shows; what it was started with counts, not what we think it was."""
         shown = self.agent.store.current(self.name) / CONFIG
@@ -210,6 +211,7 @@
             "generation": r.current.number,
             "digest": r.current.digest,
             "previous": r.previous.number,
+            "drained": self.drained,
             "change": r.state.value,
             "step": None if r.step is None else {"id": r.step.id, "target": r.step.target.number},
             "outcomes": [[o.step, o.verdict.value, o.reason] for o in r.outcomes],
@@ -228,17 +230,22 @@
 class Agent:
     """All instances of one host, and who may change them."""
 
-    def __init__(self, store: Store, name: str, fleet: str) -> None:
-        self.store, self.name, self.fleet = store, name, fleet
+    def __init__(
+        self, store: Store, name: str, fleet: str, zone: str = "", host: Host | None = None,
+        look_s: float = LOOK_S,
+    ) -> None:  # fmt: skip
+        """``host``: the machine with its processes, else this one; ``look_s``: how often nodes are asked."""
+        self.look_s = look_s
+        self.store, self.name, self.fleet, self.zone = store, name, fleet, zone
+        self.host: Host = host or process.LocalHost()
         self.lease = Lease(store.promise(), now_us())
         self.managed: dict[str, Managed] = {}
         self._checks = asyncio.Semaphore(2)
 
     def begin(self) -> None:
         """Go on with all instances, as the journal has them."""
-        for name, (spec, record) in self.store.instances().items():
-            self.managed[name] = Managed(self, name, spec, record)
-            self.managed[name].begin()
+        for name in self.store.instances():
+            self.managed |= self.spawn(name)
 
     def end(self) -> None:
         """Leave all nodes as they are."""
@@ -252,6 +259,13 @@
         if name not in self.store.instances():
             self.store.keep_instance(check_name(name, "instance"), spec, m.Record())
 
+    def spawn(self, name: str) -> dict[str, Managed]:
+        """Run an instance that was added while the agent runs."""
+        spec, record = self.store.instances()[name]
+        managed = Managed(self, name, spec, record)
+        managed.begin()
+        return {name: managed}
+
     def lease_problem(self, token: int) -> str:
         """Why a step with this token may not go on; "" if it may."""
         refused = self.lease.check(now_us(), token)
@@ -286,6 +300,8 @@
         return {
             "agent": self.name,
             "fleet": self.fleet,
+            "zone": self.zone,
+            "version": __version__,
             "pid": os.getpid(),
             "time": time.time(),
             "lease": {**asdict(promise), "alive": self.lease.alive(now_us())},
@@ -351,7 +367,7 @@
         try:
             for name, text in files.items():
                 (folder / name).write_text(text, "utf-8")
-            said = await process.check(folder / CONFIG)
+            said = await self.host.check(folder / CONFIG)
             return said.replace(f"{folder}/", "")
         finally:
             shutil.rmtree(folder, ignore_errors=True)
--- a/oakbridge/cli/agent.py
+++ b/oakbridge/cli/agent.py
@@ -14,6 +14,7 @@
 from oakbridge.agent.runner import Agent
 from oakbridge.agent.store import Store, StoreError
 from oakbridge.cli.common import BadInput, Failed
+from oakbridge.cli.logs import log_option, start_logs
 from oakbridge.fleet.http import Server
 from oakbridge.fleet.pki import PkiError, context
 
@@ -26,7 +27,7 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    agent = Agent(store, given.name, given.fleet)
+    agent = Agent(store, given.name, given.fleet, given.zone)
     server = Server(tls, given.fleet, agent.answer)
     for name, listen in given.instances.items():
         agent.add(name, listen, given.state / f"{name}.sock")
@@ -44,11 +45,12 @@
 @click.option(
     "--config", "path", required=True, type=click.Path(path_type=Path), help="The agent's file, agent.toml."
 )
-def command(path: Path) -> None:
+@log_option
+def command(path: Path, log_format: str) -> None:
     """Run the nodes of this host, and answer the fleet's operators; nodes outlive their agent."""
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
         given = read(path)
+        start_logs(log_format, agent=given.name)
         tls = context(given.authority, given.certificate, server=True)
         asyncio.run(run(given, Store(given.state), tls))
     except (BadAgentFile, StoreError, PkiError) as e:
--- a/oakbridge/cli/fleet.py
+++ b/oakbridge/cli/fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import json
 import time
 from collections import Counter
 from pathlib import Path
@@ -10,13 +12,15 @@
 
 import click
 from rich import box
-from rich.console import Console
+from rich.console import Console, Group
+from rich.live import Live
 from rich.table import Table
 from rich.text import Text
 
 from oakbridge.cli.common import BadInput, Failed, say_json
 from oakbridge.fleet import pki, wire
 from oakbridge.fleet.ask import Heard, Operator
+from oakbridge.fleet.health import health, in_order
 from oakbridge.fleet.inventory import FILE, BadInventory, Inventory, good_name, read, write
 
 folder_option = click.option(
@@ -29,7 +33,7 @@
 
 @click.group("fleet")
 def command() -> None:
-    """Many nodes: make a fleet and its certificates, see all of it."""
+    """Many nodes: make a fleet and its certificates, see all of it, change it in waves."""
 
 
 def _named(text: str, what: str) -> str:
@@ -119,7 +123,7 @@
         tls = pki.context(folder / "ca.crt", folder / "operators" / _named(name, "--as"), server=False)
     except pki.PkiError as e:
         raise BadInput(str(e)) from None
-    return Operator(inventory, tls, within_s)
+    return Operator(inventory, tls, within_s, name)
 
 
 @command.command("status")
@@ -137,11 +141,58 @@
     if as_json:
         say_json({"agents": [agent_row(h) for h in heard], "instances": rows})
     else:
-        show(heard, rows)
-    if any(h.status != 200 for h in heard) or any(r["health"] != "well" for r in rows):
+        Console().print(fleet_view(heard, rows))
+    if any(h.status != 200 for h in heard) or not all(in_order(r["health"]) for r in rows):
         raise click.exceptions.Exit(1)
 
 
+@command.command("watch")
+@folder_option
+@operator_option
+@click.option("--every", default=2.0, type=click.FloatRange(0.2, 600), help="Seconds between two looks.")
+@click.option("--count", default=0, type=click.IntRange(0), help="Looks before it ends; 0: until Ctrl-C.")
+@click.option(
+    "--json", "as_json", is_flag=True, help="A line of JSON for each change of an instance's health."
+)
+def watch(folder: Path, operator: str, every: float, count: int, as_json: bool) -> None:
+    """Show the fleet as it is, again and again; what is well is summed up, what is not has a line."""
+    asker = operator_of(folder, operator, max(1.0, every))
+    console = Console()
+
+    async def run(live: Live | None) -> None:
+        before: dict[str, str] = {}
+        for number in itertools.count(1):
+            heard = await asker.ask_all(wire.Status())
+            rows = [row for h in heard for row in instances(h)]
+            if live is not None:
+                live.update(fleet_view(heard, rows, all_rows=False), refresh=True)
+            elif as_json:
+                before = _say_changes(heard, rows, before)
+            else:
+                console.print(fleet_view(heard, rows, all_rows=False))
+            if number == count:
+                return
+            await asyncio.sleep(every)
+
+    if as_json or not console.is_terminal:
+        asyncio.run(run(None))
+    else:
+        with Live(console=console, auto_refresh=False) as live:
+            asyncio.run(run(live))
+
+
+def _say_changes(heard: list[Heard], rows: list[dict[str, Any]], before: dict[str, str]) -> dict[str, str]:
+    """A line for each name whose word is another than before."""
+    now = {h.agent: "unknown" for h in heard if h.status != 200}
+    now |= {f"{row['agent']}/{row['name']}": str(row["health"]) for row in rows}
+    for name in sorted(now.keys() | before.keys()):
+        if now.get(name) != before.get(name):
+            click.echo(json.dumps({
+                "time": round(time.time(), 3), "name": name, "was": before.get(name), "is": now.get(name),
+            }))  # fmt: skip
+    return now
+
+
 def agent_row(heard: Heard) -> dict[str, Any]:
     """What is known of an agent; without an answer nothing is claimed."""
     if heard.status != 200:
@@ -150,10 +201,11 @@
             "state": "unknown",
             "error": heard.error or heard.answer.get("error", ""),
         }
-    lease = heard.answer["lease"]
+    told = heard.answer
     return {
-        "agent": heard.agent, "state": "answers", "pid": heard.answer["pid"], "lease": lease,
-        "instances": len(heard.answer["instances"]), "clock_off_s": round(heard.answer["time"] - time.time(), 3),
+        "agent": heard.agent, "state": "answers", "pid": told["pid"], "lease": told["lease"],
+        "zone": told.get("zone", ""), "version": told.get("version", ""),
+        "instances": len(told["instances"]), "clock_off_s": round(told["time"] - time.time(), 3),
     }  # fmt: skip
 
 
@@ -161,54 +213,33 @@
     """What is known of an agent's instances, with one word for how each is."""
     if heard.status != 200:
         return []
-    found = []
-    for row in heard.answer["instances"]:
-        health = "well"
-        if row["crash_loop"]:
-            health = "crash loop"
-        elif row["process"] != "running":
-            health = row["process"]
-        elif not row["answers"]:
-            health = "silent"
-        elif row["change"] != "settled":
-            health = row["change"]
-        found.append({"agent": heard.agent, "health": health, **row})
-    return found
-
-
-def show(heard: list[Heard], rows: list[dict[str, Any]]) -> None:
-    """Both tables, for people."""
-    console = Console()
-    table = Table(box=box.SIMPLE_HEAD)
-    for column in (
-        "agent",
-        "instance",
-        "health",
-        "generation",
-        "pid",
-        "crashes",
-        "servers",
-        "requests/s",
-        "last words",
-    ):
-        table.add_column(
-            column, justify="right" if column in ("generation", "pid", "crashes", "servers") else "left"
-        )
-    for h in heard:
-        if h.status != 200:
-            table.add_row(
-                h.agent, "", Text("unknown", style="yellow"), "", "", "", "", "", agent_row(h)["error"]
-            )
+    return [{"agent": heard.agent, "health": health(row), **row} for row in heard.answer["instances"]]
+
+
+def fleet_view(heard: list[Heard], rows: list[dict[str, Any]], all_rows: bool = True) -> Group:
+    """The fleet for people, within 80 columns: instances, then agents that do not answer, then the sum."""
+    table = Table(box=box.SIMPLE_HEAD, pad_edge=False)
+    table.add_column("instance", no_wrap=True, overflow="ellipsis", max_width=28)
+    table.add_column("health", no_wrap=True)
+    for name in ("gen", "servers", "req/s"):
+        table.add_column(name, justify="right", no_wrap=True)
+    table.add_column("crashes, last words", no_wrap=True, overflow="ellipsis", max_width=26)
     for row in rows:
-        node = row["node"]
-        style = "green" if row["health"] == "well" else "red"
-        table.add_row(
-            row["agent"], row["name"], Text(row["health"], style=style), str(row["generation"]), str(row["pid"] or ""),
-            str(row["crashes"]), str(node.get("servers", "")), str(node.get("attempts_per_s", "")),
-            row["last_exit"][:60],
-        )  # fmt: skip
-    console.print(table)
+        if all_rows or not in_order(row["health"]):
+            node, crashes = row["node"], row["crashes"]
+            words = f"{crashes}: {row['last_exit']}" if crashes else ""
+            table.add_row(
+                f"{row['agent']}/{row['name']}",
+                Text(row["health"], style="green" if in_order(row["health"]) else "red"),
+                str(row["generation"]), str(node.get("servers", "")), str(node.get("attempts_per_s", "")), words,
+            )  # fmt: skip
+    lines = [
+        Text(f"{h.agent}: unknown: {agent_row(h)['error']}", style="yellow", no_wrap=True, overflow="ellipsis")
+        for h in heard if h.status != 200
+    ]  # fmt: skip
     counts = Counter(row["health"] for row in rows)
-    unknown = sum(1 for h in heard if h.status != 200)
     told = ", ".join(f"{n} {word}" for word, n in counts.most_common()) or "no instances"
-    console.print(f"{told}; {unknown} of {len(heard)} agents unknown")
+    generations = Counter(row["generation"] for row in rows)
+    runs = ", ".join(f"{n} at {number}" for number, n in sorted(generations.items(), reverse=True)[:4])
+    total = Text(f"{told}; {len(lines)} of {len(heard)} agents unknown; generations: {runs or 'none'}")
+    return Group(*([table] if table.row_count else []), *lines, total)
--- a/oakbridge/cli/serve.py
+++ b/oakbridge/cli/serve.py
@@ -17,6 +17,7 @@
 from oakbridge.__main__ import main as serve_platform
 from oakbridge.__main__ import start_log
 from oakbridge.cli.common import BadInput, Failed
+from oakbridge.cli.logs import JSON, log_option, start_logs
 from oakbridge.config.load import BadFile, Loaded, inline_entries, load
 from oakbridge.config.schema import resolved
 from oakbridge.control.place import default_socket
@@ -128,7 +129,10 @@
 @click.option(
     "--control", "socket_path", type=click.Path(path_type=Path), help="The control socket's path, likewise."
 )
-def command(path: Path | None, name: str | None, listen: tuple[str, ...], socket_path: Path | None) -> None:
+@log_option
+def command(
+    path: Path | None, name: str | None, listen: tuple[str, ...], socket_path: Path | None, log_format: str
+) -> None:
     """Run one node until SIGTERM; SIGHUP reads its configuration anew.
 
     Without --config the platform's environment tells all (NODE_CONFIG and its kin).
@@ -143,7 +147,11 @@
     except (BadFile, ConfigError) as e:
         raise BadInput(str(e)) from None
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens to it: it ends no node
-    start_log(getattr(logging, loaded.file.log.level.upper()))
+    level = getattr(logging, loaded.file.log.level.upper())
+    if log_format == JSON:
+        start_logs(log_format, level, node=loaded.config.name)
+    else:
+        start_log(level)
     logging.getLogger("watchfiles").setLevel(logging.WARNING)
     try:
         asyncio.run(
--- a/oakbridge/fleet/ask.py
+++ b/oakbridge/fleet/ask.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import ssl
 import time
 from dataclasses import dataclass, field
 
-from oakbridge.agent.lease import majority
-from oakbridge.fleet import wire
-from oakbridge.fleet.http import CallFailed, call
+from oakbridge.fleet import quorum, wire
+from oakbridge.fleet.http import Caller, CallFailed
 from oakbridge.fleet.inventory import Inventory
 
 AT_ONCE = 64
 WITHIN_S = 5.0
+RELEASE_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,24 +39,30 @@
 
     def won(self, of: int) -> bool:
         """Whether a majority of so many agents has granted it."""
-        return len(self.agents) >= majority(of)
+        return len(self.agents) >= quorum.majority(of)
 
 
 class Operator:
-    """One operator's end of the protocol."""
+    """One operator's end of the protocol; it keeps a connection to each agent from one call to the next."""
 
-    def __init__(self, inventory: Inventory, tls: ssl.SSLContext, within_s: float = WITHIN_S) -> None:
-        self.inventory, self._tls, self._within = inventory, tls, within_s
+    def __init__(
+        self, inventory: Inventory, tls: ssl.SSLContext, within_s: float = WITHIN_S, name: str = ""
+    ) -> None:
+        """``name``: as the certificate has it; only to say who gives way where two ask at once."""
+        self.inventory, self._tls, self._within, self.name = inventory, tls, within_s, name
         self._places = asyncio.Semaphore(AT_ONCE)
+        self._callers: dict[str, Caller] = {}
+        self._random = random.Random()
 
     async def ask(self, agent: str, request: wire.Request, within_s: float | None = None) -> Heard:
         """Ask one agent."""
+        caller = self._callers.get(agent)
+        if caller is None:
+            address = self.inventory.agents[agent]
+            caller = self._callers[agent] = Caller(self._tls, self.inventory.name, agent, address)
         async with self._places:
             try:
-                status, answer = await call(
-                    self._tls, self.inventory.name, agent, self.inventory.agents[agent],
-                    wire.write(request), within_s or self._within,
-                )  # fmt: skip
+                status, answer = await caller.call(wire.write(request), within_s or self._within)
             except CallFailed as e:
                 return Heard(agent, error=str(e))
         return Heard(agent, status, answer)
@@ -67,16 +74,29 @@
         names = tuple(self.inventory.agents) if agents is None else agents
         return list(await asyncio.gather(*(self.ask(name, request, within_s) for name in names)))
 
+    def close(self) -> None:
+        """Hang up everywhere."""
+        for caller in self._callers.values():
+            caller.close()
+
     async def acquire(self, length_s: float) -> Held:
         """Have the lease for the whole set or not at all: without a majority what was granted is given back."""
-        highest = 0
-        for heard in await self.ask_all(wire.Status()):
-            if heard.status == 200:
-                highest = max(highest, int(heard.answer["lease"]["token"]))
-        held = await self._acquire(highest + 1, int(length_s * 1e6))
-        if not held.won(len(self.inventory.agents)):
+        of, number = len(self.inventory.agents), 0
+        while True:
+            highest = 0
+            for heard in await self.ask_all(wire.Status()):
+                if heard.status == 200:
+                    highest = max(highest, int(heard.answer["lease"]["token"]))
+            held = await self._acquire(highest + 1, int(length_s * 1e6))
+            holders = tuple(h.answer["holder"] for h in held.refused if h.answer.get("ends_in_s"))
+            word = quorum.decide(quorum.Bid(self.name, of, len(held.agents), holders), number)
+            if word is quorum.Word.WON:
+                return held
             await self.ask_all(wire.Release(held.token), held.agents)
-        return held
+            if word is quorum.Word.LOST:
+                return held
+            await asyncio.sleep(quorum.pause(number, self._random))
+            number += 1
 
     async def _acquire(self, token: int, length: int) -> Held:
         heard = await self.ask_all(wire.Acquire(token, length))
@@ -88,10 +108,10 @@
             time.time(),
         )
 
-    async def higher(self, held: Held, length_s: float) -> Held:
+    async def higher(self, held: Held, length_s: float, above: int = 0) -> Held:
         """A higher token for the same holder, without letting go of the lease in between."""
-        return await self._acquire(held.token + 1, int(length_s * 1e6))
+        return await self._acquire(max(held.token, above) + 1, int(length_s * 1e6))
 
     async def release(self, held: Held) -> None:
-        """Give the lease back."""
-        await self.ask_all(wire.Release(held.token), held.agents)
+        """Give the lease back; one that does not answer soon keeps it until it ends by itself."""
+        await self.ask_all(wire.Release(held.token), held.agents, RELEASE_S)
--- a/oakbridge/fleet/http.py
+++ b/oakbridge/fleet/http.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 import ssl
@@ -140,43 +141,83 @@
             return None, b""
 
 
+class Caller:
+    """The operator's end towards one agent: one call at a time, over a connection that is kept between calls."""
+
+    def __init__(self, context: ssl.SSLContext, fleet: str, agent: str, address: tuple[str, int]) -> None:
+        self._context, self._fleet, self._agent, self._address = context, fleet, agent, address
+        self._kept: tuple[h11.Connection, Reader, Writer] | None = None
+        self._turn = asyncio.Lock()
+
+    async def call(self, request: tuple[str, str, bytes], within_s: float) -> Answer:
+        """Ask once.  Raises :class:`CallFailed`; the agent must be the one of that name, of this fleet."""
+        try:
+            async with asyncio.timeout(within_s), self._turn:
+                return await self._call(request)
+        except TimeoutError:
+            raise CallFailed(f"no answer within {within_s:g} s") from None
+        except ssl.SSLError as e:
+            raise CallFailed(f"TLS: {e.reason or e}") from None
+        except (OSError, EOFError, h11.ProtocolError, BadMessage) as e:
+            raise CallFailed(str(e) or type(e).__name__) from None
+
+    def close(self) -> None:
+        """Hang up."""
+        if self._kept is not None:
+            self._kept[2].transport.abort()
+            self._kept = None
+
+    async def _call(self, request: tuple[str, str, bytes]) -> Answer:
+        kept, self._kept = self._kept, None
+        if kept is not None:
+            # The agent may have hung up meanwhile; every request may be sent again, so one more try is harmless.
+            with contextlib.suppress(OSError, EOFError, h11.ProtocolError):
+                return await self._exchange(*kept, request)
+        reader, writer = await asyncio.open_connection(*self._address, ssl=self._context, limit=CHUNK)
+        try:
+            who = identity(writer)
+            if (who.fleet, who.kind, who.name) != (self._fleet, "agent", self._agent):
+                raise BadMessage(f"certificate: expected agent {self._agent} of this fleet, got {who.uri()}")
+        except BaseException:
+            writer.transport.abort()
+            raise
+        return await self._exchange(h11.Connection(h11.CLIENT), reader, writer, request)
+
+    async def _exchange(
+        self, connection: h11.Connection, reader: Reader, writer: Writer, request: tuple[str, str, bytes]
+    ) -> Answer:
+        method, path, body = request
+        done = False
+        try:
+            headers = [("host", self._agent), ("content-length", str(len(body)))]
+            writer.write(connection.send(h11.Request(method=method, target=path, headers=headers)) or b"")
+            if body:
+                writer.write(connection.send(h11.Data(data=body)) or b"")
+            writer.write(connection.send(h11.EndOfMessage()) or b"")
+            await writer.drain()
+            response, data = await _receive(connection, reader)
+            if response is None or data is None:
+                raise EOFError(
+                    "the agent closed the connection" if response is None else "the answer is too long"
+                )
+            answer = response.status_code, read_answer(data)
+            done = connection.our_state is h11.DONE and connection.their_state is h11.DONE
+            return answer
+        finally:
+            if done:
+                connection.start_next_cycle()
+                self._kept = connection, reader, writer
+            else:
+                writer.transport.abort()
+
+
 async def call(
     context: ssl.SSLContext, fleet: str, agent: str, address: tuple[str, int], request: tuple[str, str, bytes],
     within_s: float,
 ) -> Answer:  # fmt: skip
-    """Ask an agent once.  Raises :class:`CallFailed`; the agent must be the one of that name, of this fleet."""
-    try:
-        async with asyncio.timeout(within_s):
-            return await _call(context, fleet, agent, address, request)
-    except TimeoutError:
-        raise CallFailed(f"no answer within {within_s:g} s") from None
-    except ssl.SSLError as e:
-        raise CallFailed(f"TLS: {e.reason or e}") from None
-    except (OSError, EOFError, h11.RemoteProtocolError, BadMessage) as e:
-        raise CallFailed(str(e) or type(e).__name__) from None
-
-
-async def _call(
-    context: ssl.SSLContext, fleet: str, agent: str, address: tuple[str, int], request: tuple[str, str, bytes]
-) -> Answer:
-    reader, writer = await asyncio.open_connection(*address, ssl=context, limit=CHUNK)
+    """Ask an agent once, over a connection of its own.  Raises :class:`CallFailed`."""
+    caller = Caller(context, fleet, agent, address)
     try:
-        who = identity(writer)
-        if (who.fleet, who.kind, who.name) != (fleet, "agent", agent):
-            raise BadMessage(f"certificate: expected agent {agent} of this fleet, got {who.uri()}")
-        method, path, body = request
-        connection = h11.Connection(h11.CLIENT)
-        headers = [("host", agent), ("content-length", str(len(body))), ("connection", "close")]
-        writer.write(connection.send(h11.Request(method=method, target=path, headers=headers)) or b"")
-        if body:
-            writer.write(connection.send(h11.Data(data=body)) or b"")
-        writer.write(connection.send(h11.EndOfMessage()) or b"")
-        await writer.drain()
-        response, data = await _receive(connection, reader)
-        if response is None or data is None:
-            raise EOFError(
-                "the agent closed the connection" if response is None else "the answer is too long"
-            )
-        return response.status_code, read_answer(data)
+        return await caller.call(request, within_s)
     finally:
-        writer.transport.abort()
+        caller.close()
--- a/oakbridge/rollout/conduct.py
+++ b/oakbridge/rollout/conduct.py
@@ -3,23 +3,31 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 from oakbridge.fleet import wire
 from oakbridge.fleet.ask import Heard, Held, Operator
+from oakbridge.fleet.health import unwell_because
 from oakbridge.rollout import machine as m
-from oakbridge.rollout.gate import Counts, Judgement, Rules, Word, judge, unwell_because
+from oakbridge.rollout import news
+from oakbridge.rollout.change import BadChange, Change, Drain, Files, Whole
+from oakbridge.rollout.gate import Counts, Judgement, Rules, Word, judge
 from oakbridge.rollout.journal import Journal
+from oakbridge.rollout.listen import Listener
+from oakbridge.rollout.patience import Patience
 from oakbridge.rollout.plan import Target
 
-LOOK_S = 0.5  # how often the agents are asked
-LOOK_WITHIN_S = 1.5  # an agent that takes longer is asked again: it must not hold the others up
+TICK_S = 0.25  # the longest wait between two looks at what has run out
+LOOK_S, GATE_LOOK_S, IDLE_S = 0.25, 1.0, 5.0  # how often an agent is asked: awaited, in a gate, otherwise
+JUDGE_S = 0.5  # the least time between two judgements of one gate
+AGAIN_S = 0.5  # before a step without an answer is sent again
 LEASE_S = 60.0
 RENEW_S = 15.0
-ENDS = {"took it": m.Fate.TOOK, "did not": m.Fate.DID_NOT, "undone": m.Fate.UNDONE}
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,186 +40,317 @@
     rules: Rules = Rules()
 
 
+@dataclass(slots=True)
+class Gate:
+    """A gate that is open."""
+
+    changed: tuple[Target, ...]
+    before: dict[str, Counts]
+    looked: float
+    over: bool = False
+
+
 class Conductor:
     """Carries out one rollout."""
 
     def __init__(
-        self, operator: Operator, journal: Journal, rollout: int, files: dict[str, str], record: m.Record,
+        self, operator: Operator, journal: Journal, rollout: int, change: Change, record: m.Record,
         held: Held, options: Options, show: Callable[[Conductor], None] = lambda _: None,
+        sources: dict[str, int] | None = None,
     ) -> None:  # fmt: skip
-        self.operator, self.journal, self.rollout, self.files = operator, journal, rollout, files
+        """``sources``: the generation that an instance's files are made from, where it is not what it runs."""
+        self.operator, self.journal, self.rollout, self.change = operator, journal, rollout, change
         self.machine, self.held, self.options, self._show = m.Rollout(record), held, options, show
-        self.heard: dict[str, Heard] = {}
-        self.last_heard: dict[str, float] = {}
+        self.targets = {t.name: t for wave in record.waves for t in wave}
+        self._sources = sources or {}
+        self._granted = set(held.agents)
+        self._of_agent: dict[str, list[str]] = {}
+        for name, target in self.targets.items():
+            self._of_agent.setdefault(target.agent, []).append(name)
+        self.listener = Listener(operator, tuple(self._of_agent), self._pace)
         self.judgement: Judgement | None = None
-        self._sent: dict[str, float] = {}  # instances that news is awaited of, since when
-        self._back: dict[
-            str, tuple[int, float]
-        ] = {}  # those that are taken back: under which token, since when
-        self._gate: tuple[tuple[Target, ...], dict[str, Counts], float] | None = None
+        self._steps = Patience(options.watch + options.silent)
+        self._backs = Patience(options.watch + options.silent)
+        self._settling: set[str] = set()
+        self._gate: Gate | None = None
         self._first: dict[str, Counts] = {}
         self._queue: deque[m.Action] = deque()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._raising = asyncio.Lock()  # one at a time asks for a higher token
         self._finished: m.Stage | None = None
 
     async def run(self) -> m.Stage:
         """Carry it through to its end, or to where it stands still."""
-        renewed = time.monotonic()
-        await self._look()
-        self._first = {name: self._counts(name) for name in self.machine.report()}
+        await self.listener.look_at_all()
+        self._first = self._all_counts()
         self._do(self.machine.begin())
-        while True:
-            await self._work()
-            self._show(self)
-            if self._finished is not None and not self._queue:
-                return self._finished
-            await asyncio.sleep(LOOK_S)
-            if time.monotonic() - renewed > RENEW_S:
-                renewed = time.monotonic()
-                await self._renew()
-            await self._look()
-            self._news()
+        self.listener.start()
+        self._spawn(self._keep_lease())
+        try:
+            while True:
+                self._work()
+                self._show(self)
+                if self._finished is not None and not self._queue:
+                    return self._finished
+                await self._next()
+                self._news()
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await self.listener.close()
+
+    async def _next(self) -> None:
+        """Wait for news, or for the time of the next look."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TICK_S):
+                await self.listener.news.wait()
+        self.listener.news.clear()
+
+    def _pace(self, agent: str) -> float:
+        """How often this agent is asked, in seconds: often while something is awaited of it."""
+        if any(self._steps.awaited(n) or self._backs.awaited(n) for n in self._of_agent[agent]):
+            return LOOK_S
+        return max(GATE_LOOK_S, len(self._of_agent) / 500) if self._gate is not None else IDLE_S
 
     def _do(self, actions: list[m.Action]) -> None:
         self._queue.extend(actions)
+        self.listener.news.set()
+
+    def _spawn(self, what: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(what)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
 
-    async def _work(self) -> None:
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (problem := task.exception()) is not None:
+            self._do(self.machine.stopped(f"the tool failed: {problem}"))
+
+    def _work(self) -> None:
+        """Carry out what is asked, in order; whatever waits for an agent does so on its own."""
+        kept = [action.record for action in self._queue if isinstance(action, m.Keep)]
+        if kept:  # the last one speaks of all that is in the queue, and is on disk before any of it
+            self.journal.keep(self.rollout, kept[-1])
         while self._queue:
             action = self._queue.popleft()
-            if isinstance(action, m.Keep):
-                self.journal.keep(self.rollout, action.record)
-            elif isinstance(action, m.Send):
-                await self._send(action.target)
+            if isinstance(action, m.Send):
+                self._steps.await_(action.target.name, time.monotonic())
+                self._spawn(self._send(action.target))
             elif isinstance(action, m.TakeBack):
-                await self._take_back(action.target)
+                self._backs.await_(action.target.name, time.monotonic())
+                self._spawn(self._take_back(action.target))
+            elif isinstance(action, m.Settle):
+                self._steps.await_(action.target.name, time.monotonic())
+                self._settling.add(action.target.name)
+                self._spawn(self._settle(action.target))
             elif isinstance(action, m.Judge):
-                self._gate = (
-                    action.changed,
-                    {name: self._counts(name) for name in self.machine.report()},
-                    time.monotonic(),
-                )
-            else:
+                self._spawn(self._open_gate(action.changed))
+            elif isinstance(action, m.Finish):
                 self._finished = action.stage
 
-    async def _renew(self) -> None:
-        """Keep the lease; without a majority nothing more may be sent."""
-        request = wire.Acquire(self.held.token, int(LEASE_S * 1e6), renew=True)
-        heard = await self.operator.ask_all(request)
-        taken = next((h for h in heard if h.status == 409 and h.answer.get("holder")), None)
-        if sum(1 for h in heard if h.status == 200) * 2 <= len(heard):
-            why = f"{taken.answer['holder']} has the lease" if taken else "too few agents answer"
-            self._do(self.machine.stopped(f"the lease is lost: {why}"))
+    # ---- the lease
+
+    async def _keep_lease(self) -> None:
+        """Renew it; without a majority nothing more may be sent."""
+        while True:
+            await asyncio.sleep(RENEW_S)
+            heard = await self.operator.ask_all(wire.Acquire(self.held.token, int(LEASE_S * 1e6), renew=True))
+            if sum(1 for h in heard if h.status == 200) * 2 <= len(heard):
+                taken = next((h for h in heard if h.status == 409 and h.answer.get("holder")), None)
+                why = f"{taken.answer['holder']} has the lease" if taken else "too few agents answer"
+                return self._do(self.machine.stopped(f"the lease is lost: {why}"))
+
+    async def _admit(self, agent: str) -> bool:
+        """Whether our token is promised by an agent that did not grant it when we asked all; asked for here."""
+        if agent in self._granted:
+            return True
+        heard = await self.operator.ask(agent, wire.Acquire(self.held.token, int(LEASE_S * 1e6)))
+        if heard.status == 200:
+            self._granted.add(agent)
+            self.listener.look(agent)
+            return True
+        # One that lost to us may have a part of the fleet for a moment, or have left a higher token there.  A higher
+        # one of our own name is another tool of ours, which has taken over: that is never outbid.
+        ended = heard.status == 409 and not heard.answer.get("ends_in_s")
+        if ended and heard.answer.get("holder") != self.operator.name:
+            await self._above(int(heard.answer["token"]))
+        return False
+
+    async def _above(self, number: int) -> int:
+        """A token of ours above a number: the next one, if ours is not."""
+        async with self._raising:
+            if self.held.token <= number:
+                self.held = await self.operator.higher(self.held, LEASE_S, number)
+                self._granted = set(self.held.agents)
+                if not self.held.won(len(self.operator.inventory.agents)):
+                    self._do(self.machine.stopped("the lease is lost: a higher token was not granted"))
+            return self.held.token
 
     # ---- steps
 
-    def step_id(self, target: Target) -> str:
-        """The same at every sending: an agent knows a step by it."""
-        return f"r{self.rollout}-{target.instance}"
+    async def _files(self, target: Target) -> Files | str | None:
+        """What the instance should run by, or why that can't be told; None without an answer."""
+        number = self._sources.get(target.name, target.base)
+        before: Files = {}
+        if number and (target.drained or not isinstance(self.change, Whole)):
+            heard = await self.operator.ask(target.agent, wire.Fetch(target.instance, number))
+            if heard.status != 200:
+                return _refusal(heard)
+            before = heard.answer["files"]
+        try:
+            return self.change.after(before)
+        except BadChange as e:
+            return str(e)
+
+    async def _order(self, target: Target, order: wire.StepOrder) -> Heard:
+        heard = await self.operator.ask(target.agent, order)
+        self.listener.look(target.agent)
+        if heard.status == 409 and self.held.token != order.token:
+            return Heard(
+                target.agent, error="our token has been raised meanwhile"
+            )  # sent again under the new one
+        return heard
 
     async def _send(self, target: Target) -> None:
-        self._sent.setdefault(target.name, time.monotonic())
+        """Send the step until the agent has answered, or it is waited for no longer."""
+        while self._steps.awaited(target.name):
+            why = await self._try(target)
+            if why is not None:
+                if why:
+                    self._steps.heard(target.name)
+                    self._do(self.machine.ended(target.name, m.Fate.DID_NOT, why))
+                return
+            await asyncio.sleep(AGAIN_S)
+
+    async def _try(self, target: Target) -> str | None:
+        """Send the step once: "" if the agent has it, why it will not have it, or None without an answer."""
+        if not await self._admit(target.agent):
+            return None
+        files = await self._files(target)
+        if files is None or isinstance(files, str):
+            return files
         order = wire.StepOrder(
-            self.held.token, self.step_id(target), target.instance, self.rollout, target.base,
-            int(self.options.watch * 1e6), self.files,
+            self.held.token, news.step_id(self.rollout, target.instance), target.instance, self.rollout,
+            target.base, int(self.options.watch * 1e6), files,
         )  # fmt: skip
-        heard = await self.operator.ask(target.agent, order)
-        if heard.status in (400, 403, 404, 409):
-            self._sent.pop(target.name, None)
-            self._do(
-                self.machine.ended(target.name, m.Fate.DID_NOT, str(heard.answer.get("error", heard.status)))
-            )
+        return _refusal(await self._order(target, order))
+
+    async def _settle(self, target: Target) -> None:
+        """Have the agent promise our token, so that what it has not begun by then it never will."""
+        while self._steps.awaited(target.name):
+            await self._admit(target.agent)
+            await asyncio.sleep(AGAIN_S)
 
     async def _take_back(self, target: Target) -> None:
         """A step like any other, with the files of the generation before, under a number of its own."""
-        row = self._instance(target)
-        previous = int(row["previous"]) if row else target.base
-        files = await self.operator.ask(target.agent, wire.Fetch(target.instance, previous))
-        if files.status != 200:
-            return self._do(
-                self.machine.silent(
-                    target.name, files.error or "what it ran before is not there", time.time()
-                )
-            )
-        token = self.held.token
-        if token <= self.rollout:
-            self.held = await self.operator.higher(self.held, LEASE_S)
-            token = self.held.token
+        while self._backs.awaited(target.name):
+            why = await self._try_back(target)
+            if why is not None:
+                if why:
+                    self._backs.heard(target.name)
+                    self._do(self.machine.silent(target.name, f"it was not taken back: {why}", time.time()))
+                return
+            await asyncio.sleep(AGAIN_S)
+
+    async def _try_back(self, target: Target) -> str | None:
+        base = target.base
+        heard = await self.operator.ask(target.agent, wire.Fetch(target.instance, base or self.rollout))
+        if heard.status != 200:
+            return _refusal(heard)
+        files: Files = heard.answer["files"]
+        if not base:
+            files = Drain("it ran nothing before").after(files)
+        token = await self._above(self.rollout)
+        if not await self._admit(target.agent):
+            return None
         order = wire.StepOrder(
-            token, f"r{self.rollout}-back-{target.instance}", target.instance, token, self.rollout,
-            int(self.options.watch * 1e6), files.answer["files"],
+            token, news.back_id(self.rollout, target.instance), target.instance, token, self.rollout,
+            int(self.options.watch * 1e6), files,
         )  # fmt: skip
-        self._back.setdefault(target.name, (token, time.monotonic()))
-        await self.operator.ask(target.agent, order)
+        return _refusal(await self._order(target, order))
+
+    # ---- the gate
+
+    async def _open_gate(self, changed: tuple[Target, ...]) -> None:
+        """Look at all for a window; its first and last look are at everybody, so that nothing old counts."""
+        await self.listener.look_at_all()
+        gate = self._gate = Gate(changed, self._all_counts(), time.monotonic())
+        await asyncio.sleep(self.options.window)
+        if self._gate is gate:
+            await self.listener.look_at_all()
+            gate.over = True
 
     # ---- news
 
-    async def _look(self) -> None:
-        agents = tuple(dict.fromkeys(t.agent for wave in self.machine.record.waves for t in wave))
-        for heard in await self.operator.ask_all(wire.Status(), agents, LOOK_WITHIN_S):
-            if heard.status == 200:
-                self.heard[heard.agent] = heard
-                self.last_heard[heard.agent] = time.time()
-            else:
-                self.heard.pop(heard.agent, None)
-
-    def _instance(self, target: Target) -> wire.Raw | None:
-        heard = self.heard.get(target.agent)
-        rows = heard.answer["instances"] if heard is not None else []
-        return next((row for row in rows if row["name"] == target.instance), None)
-
-    def _targets(self) -> dict[str, Target]:
-        return {t.name: t for wave in self.machine.record.waves for t in wave}
-
-    def _counts(self, name: str) -> Counts:
-        row = self._instance(self._targets()[name])
+    def _row(self, target: Target) -> wire.Raw | None:
+        return self.listener.row(target.agent, target.instance)
+
+    def _all_counts(self) -> dict[str, Counts]:
+        return {name: self._counts(target) for name, target in self.targets.items()}
+
+    def _counts(self, target: Target) -> Counts:
+        row = self._row(target)
         told = row["node"].get("answers", {}) if row else {}
         return Counts(told.get("served", 0), told.get("refused", 0), told.get("failed", 0))
 
     def _news(self) -> None:
         """Tell the machine what has ended, what has gone silent, and what the gate says."""
-        for name, target in self._targets().items():
-            row = self._instance(target)
-            outcomes = {step: (verdict, reason) for step, verdict, reason in row["outcomes"]} if row else {}
-            if (ended := outcomes.get(self.step_id(target))) is not None:
-                self._sent.pop(name, None)
-                self._do(self.machine.ended(name, ENDS[ended[0]], ended[1]))
-            if (
-                name in self._back
-                and (ended := outcomes.get(f"r{self.rollout}-back-{target.instance}")) is not None
-            ):
-                del self._back[name]
-                if ended[0] == "took it":
-                    self._do(self.machine.taken_back(name))
-                else:
-                    self._do(self.machine.silent(name, f"it was not taken back: {ended[1]}", time.time()))
-            self._silence(name, target, row is not None)
+        for name, target in self.targets.items():
+            if self._steps.awaited(name):
+                self._step_news(name, target, self._row(target))
+            if self._backs.awaited(name):
+                self._back_news(name, target, self._row(target))
+        now = time.monotonic()
+        for name in {*self._steps.run_out(now), *self._backs.run_out(now)}:
+            self._settling.discard(name)
+            agent = self.targets[name].agent
+            reason = "its step has no end" if agent in self.listener.heard else "its agent does not answer"
+            self._do(self.machine.silent(name, reason, self.listener.last_heard.get(agent, 0.0)))
         self._judge()
 
-    def _silence(self, name: str, target: Target, heard: bool) -> None:
-        since = self._sent.get(name) or (self._back[name][1] if name in self._back else None)
-        patience = self.options.watch + self.options.silent
-        if since is None or time.monotonic() - since < patience:
+    def _step_news(self, name: str, target: Target, row: wire.Raw | None) -> None:
+        step = news.step_id(self.rollout, target.instance)
+        if name in self._settling:
+            ended = news.settled(row, step, self.listener.promised(target.agent), self.held.token)
+        else:
+            ended = news.ended(row, step)
+        if ended is not None:
+            self._steps.heard(name)
+            self._settling.discard(name)
+            self._do(self.machine.ended(name, *ended))
+
+    def _back_news(self, name: str, target: Target, row: wire.Raw | None) -> None:
+        ended = news.ended(row, news.back_id(self.rollout, target.instance))
+        if ended is None:
             return
-        self._sent.pop(name, None)
-        self._back.pop(name, None)
-        last = self.last_heard.get(target.agent, 0.0)
-        reason = "its step has no end" if heard else "its agent does not answer"
-        self._do(self.machine.silent(name, reason, last))
+        self._backs.heard(name)
+        if ended[0] is m.Fate.TOOK:
+            self._do(self.machine.taken_back(name))
+        else:
+            self._do(self.machine.silent(name, f"it was not taken back: {ended[1]}", time.time()))
 
     def _judge(self) -> None:
-        if self._gate is None:
+        gate = self._gate
+        if gate is None or (not gate.over and time.monotonic() - gate.looked < JUDGE_S):
             return
-        changed, before, begun = self._gate
-        over = time.monotonic() - begun >= self.options.window
-        names = {t.name for t in changed}
-        now = {name: self._counts(name).since(before[name]) for name in before}
+        gate.looked = time.monotonic()
+        names = {t.name for t in gate.changed}
+        now = {name: counts.since(gate.before[name]) for name, counts in self._all_counts().items()}
         mine = {name: counts for name, counts in now.items() if name in names}
-        others = {
-            n: c for n, c in now.items() if n not in names and self.machine.report()[n].fate is m.Fate.WAITS
-        }
+        rows = self.machine.report()
+        others = {n: c for n, c in now.items() if n not in names and rows[n].fate is m.Fate.WAITS}
         if not others:  # nobody is unchanged any more: what they answered before
             others = self._first
-        unwell = {t.name: why for t in changed if (why := unwell_because(self._instance(t), self.rollout))}
-        self.judgement = judge(mine, others, unwell, self.options.rules, over)
+        unwell = {t.name: why for t in gate.changed if (why := unwell_because(self._row(t), self.rollout))}
+        self.judgement = judge(mine, others, unwell, self.options.rules, gate.over)
         if self.judgement.word is not Word.WAIT:
             self._gate = None
             self._do(self.machine.judged(self.judgement))
+
+
+def _refusal(heard: Heard) -> str | None:
+    """Why an agent will not do what was asked; "" if it will, None without an answer."""
+    if not heard.status or heard.status >= 500:
+        return None
+    return str(heard.answer.get("error", heard.status)) if heard.status >= 400 else ""
--- a/oakbridge/rollout/gate.py
+++ b/oakbridge/rollout/gate.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass
 from enum import Enum
 from statistics import NormalDist
-from typing import Any
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,19 +104,6 @@
     return Judgement(Word.PASS if over else Word.WAIT, figures, a, b, p)
 
 
-def unwell_because(told: Mapping[str, Any] | None, generation: int) -> str:
-    """What is wrong with a changed instance, by what its agent tells of it (None: nothing); "" if it is well."""
-    if told is None:
-        return "its agent does not answer"
-    if told["crash_loop"]:
-        return "crash loop"
-    if told["process"] != "running":
-        return f"{told['process']} ({told['last_exit']})"
-    if not told["answers"]:
-        return "silent"
-    return "" if told["generation"] == generation else f"it runs generation {told['generation']}"
-
-
 def compare(mine: Counts, theirs: Counts, margin: float) -> tuple[float, float, float]:
     """The p-value of "no lower by more than the margin", and both shares as they are."""
     a, n = (mine.served + 1) / (mine.answered + 2), mine.answered + 2
--- a/oakbridge/rollout/journal.py
+++ b/oakbridge/rollout/journal.py
@@ -9,10 +9,12 @@
 import json
 import sqlite3
 import time
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from oakbridge.rollout import change as changes
+from oakbridge.rollout.change import BadChange, Change
 from oakbridge.rollout.machine import Fate, Record, Row, Stage
 from oakbridge.rollout.plan import Target
 
@@ -32,14 +34,14 @@
     began: float
     changed: float
     why: str
-    files: dict[str, str]
+    change: Change
     record: Record
 
 
 def encode(record: Record) -> str:
     """A record as the journal has it."""
     return json.dumps({
-        "waves": [[[t.agent, t.instance, t.zone, t.base] for t in wave] for wave in record.waves],
+        "waves": [[[t.agent, t.instance, t.zone, t.base, t.drained] for t in wave] for wave in record.waves],
         "unavailable": record.unavailable, "undo": record.undo, "stage": record.stage.value, "wave": record.wave,
         "rows": [[name, row.fate.value, row.reason, row.since] for name, row in record.rows], "reason": record.reason,
     })  # fmt: skip
@@ -82,10 +84,9 @@
 
     def add(self, entry: Entry) -> None:
         """Write a new rollout down."""
-        raw = asdict(entry) | {"files": json.dumps(entry.files), "record": encode(entry.record)}
-        self._db.execute(
-            "INSERT INTO rollouts VALUES (:id, :operator, :began, :changed, :why, :files, :record)", raw
-        )
+        change = json.dumps(changes.encode(entry.change))
+        values = entry.id, entry.operator, entry.began, entry.changed, entry.why, change, encode(entry.record)
+        self._db.execute("INSERT INTO rollouts VALUES (?, ?, ?, ?, ?, ?, ?)", values)
 
     def keep(self, rollout: int, record: Record) -> None:
         """Have a record on disk."""
@@ -93,13 +94,25 @@
         self._db.execute("UPDATE rollouts SET record = ?, changed = ? WHERE id = ?", values)
 
     def entries(self, last: int = 20) -> list[Entry]:
-        """The newest rollouts, newest first."""
-        rows = self._db.execute("SELECT * FROM rollouts ORDER BY id DESC LIMIT ?", (last,))
-        return [Entry(i, o, b, c, w, json.loads(f), decode(r)) for i, o, b, c, w, f, r in rows]
+        """The newest rollouts, newest first.  Raises :class:`JournalError`."""
+        return [
+            _entry(row)
+            for row in self._db.execute("SELECT * FROM rollouts ORDER BY id DESC LIMIT ?", (last,))
+        ]
 
     def entry(self, rollout: int) -> Entry:
         """One rollout.  Raises :class:`JournalError`."""
-        found = next((e for e in self.entries(1_000_000) if e.id == rollout), None)
-        if found is None:
+        row = self._db.execute("SELECT * FROM rollouts WHERE id = ?", (rollout,)).fetchone()
+        if row is None:
             raise JournalError(f"there is no rollout {rollout}")
-        return found
+        return _entry(row)
+
+
+def _entry(row: tuple[Any, ...]) -> Entry:
+    number, operator, began, changed, why, change, record = row
+    try:
+        return Entry(
+            number, operator, began, changed, why, changes.decode(json.loads(change)), decode(record)
+        )
+    except (ValueError, BadChange) as e:
+        raise JournalError(f"rollout {number}: {e}") from None
--- a/oakbridge/rollout/machine.py
+++ b/oakbridge/rollout/machine.py
@@ -5,6 +5,9 @@
        v          v
     halted  (or undoing -> undone, where that was asked for)
 
+A rollout that is over and left instances unknown may begin again (``resume``): in one that was done they get their
+step again; in one that was halted nothing more is changed, and they are only asked how their step ended.
+
 :class:`Keep` comes before what it speaks of, so that a tool that is killed goes on from its journal: a step that may
 have been sent is sent again, under the same id, and the agent answers as it did.  An instance of which nothing is
 heard is *unknown*, never counted as changed or as unchanged; it takes up one of the places of those that may be
@@ -94,6 +97,13 @@
     target: Target
 
 
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """Find out how the step of this instance ended, and send it no more; then ``ended`` or ``silent``."""
+
+    target: Target
+
+
 @dataclass(frozen=True, slots=True)
 class Judge:
     """Compare these with those that are unchanged, over a window; then ``judged``."""
@@ -108,7 +118,7 @@
     stage: Stage
 
 
-Action = Keep | Send | TakeBack | Judge | Finish
+Action = Keep | Send | TakeBack | Settle | Judge | Finish
 
 
 class Rollout:
@@ -127,16 +137,20 @@
     def begin(self) -> list[Action]:
         """Begin, or go on from the record: whatever may have been sent is sent again."""
         stage = self.record.stage
+        if stage is Stage.DONE and self._missing():
+            self._set(stage=Stage.RUNNING)
+            stage = Stage.RUNNING
         if stage is Stage.RUNNING:
-            again = self._under_way()
+            again = [Send(t) for t in self._wake()]
             return self._kept([*again, *self._more()])
         if stage is Stage.GATING:
             return [Judge(self._changed())]
-        if stage is Stage.UNDOING:
-            again = self._under_way()
-            return self._kept([*again, *[TakeBack(t) for t in self._changed()]] or self._go_on())
+        if stage in (Stage.UNDOING, Stage.UNDONE) and (self._missing() or stage is Stage.UNDOING):
+            self._set(stage=Stage.UNDOING)
+            asked = [Settle(t) for t in self._wake()]
+            return self._kept([*asked, *[TakeBack(t) for t in self._changed()]] or self._go_on())
         if stage is Stage.HALTED:
-            return [*self._under_way()] or [Finish(stage)]
+            return self._kept([Settle(t) for t in self._wake()] or [Finish(stage)])
         return [Finish(stage)]
 
     # ---- what happened
@@ -215,9 +229,12 @@
     def _changed(self) -> tuple[Target, ...]:
         return tuple(self._targets[n] for n in self._order if self._rows[n].fate is Fate.TOOK)
 
-    def _under_way(self) -> list[Action]:
-        """What was sent and has no end yet, to be sent again: the agents know their steps."""
-        return [Send(self._targets[n]) for n in self._order if self._rows[n].fate is Fate.SENT]
+    def _wake(self) -> list[Target]:
+        """What was sent and has no end that is known, also what was given up as unknown: it is under way again."""
+        found = [n for n in self._order if self._rows[n].fate in (Fate.SENT, Fate.UNKNOWN)]
+        for name in found:
+            self._rows[name] = Row(Fate.SENT)
+        return [self._targets[n] for n in found]
 
     def _missing(self) -> int:
         return sum(1 for row in self._rows.values() if row.fate is Fate.UNKNOWN)
@@ -253,7 +270,9 @@
         return [Finish(Stage.HALTED)] if self.record.stage is Stage.HALTED else []
 
     def _halt(self, reason: str) -> list[Action]:
-        undo = self.record.undo and any(r.fate in (Fate.TOOK, Fate.SENT) for r in self._rows.values())
+        undo = self.record.undo and any(
+            r.fate in (Fate.TOOK, Fate.SENT, Fate.UNKNOWN) for r in self._rows.values()
+        )
         self._set(reason=reason, stage=Stage.UNDOING if undo else Stage.HALTED)
         return self._kept(
             [TakeBack(t) for t in self._changed()] if undo and self._changed() else self._go_on()
--- a/oakbridge/rollout/plan.py
+++ b/oakbridge/rollout/plan.py
@@ -19,6 +19,7 @@
     instance: str
     zone: str = ""
     base: int = 0  # the generation that it ran when the plan was made
+    drained: bool = False  # whether its node was meant to run then
 
     @property
     def name(self) -> str:
--- /dev/null
+++ b/oakbridge/rollout/rebuild.py
@@ -0,0 +1,79 @@
+"""A journal that was lost, made again from what the agents remember.  Pure.
+
+Agents keep the ends of their last steps under the steps' ids, which name the rollout, and the generation that each
+instance runs.  What is not there any more (waves, who began it, why) is said to be unknown rather than guessed;
+instances that a rollout never reached left no trace, so a rollout that is rebuilt may have been larger.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from oakbridge.rollout.machine import Fate, Record, Row, Stage
+from oakbridge.rollout.news import ENDS
+from oakbridge.rollout.plan import Target
+
+_STEP = re.compile(r"r(\d+)-(back-)?(.+)")
+
+
+@dataclass(frozen=True, slots=True)
+class Rebuilt:
+    """One rollout as the agents remember it, and an instance that has its files (None: none has)."""
+
+    id: int
+    record: Record
+    held_by: Target | None
+
+
+def rebuild(agents: Mapping[str, Sequence[Mapping[str, Any]]], silent: Sequence[str] = ()) -> list[Rebuilt]:
+    """All rollouts that any agent remembers, oldest first; ``agents``: the instances' rows by agent."""
+    rows: dict[int, dict[str, Row]] = {}
+    targets: dict[int, dict[str, Target]] = {}
+    holders: dict[int, Target] = {}
+    for agent, instances in sorted(agents.items()):
+        for told in instances:
+            _read(agent, told, rows, targets)
+            here = Target(agent, told["name"], "", told["generation"])
+            holders.setdefault(told["generation"], here)
+            holders.setdefault(told["previous"], here)
+    found = []
+    for number in sorted(rows):
+        reason = "rebuilt from the agents"
+        if silent:
+            reason += f"; {len(silent)} of them did not answer"
+        fates = {row.fate for row in rows[number].values()}
+        done = fates == {Fate.TOOK} and not silent
+        stage = Stage.DONE if done else Stage.UNDONE if Fate.TOOK not in fates else Stage.HALTED
+        wave = tuple(targets[number][name] for name in sorted(targets[number]))
+        named = tuple((name, rows[number][name]) for name in sorted(rows[number]))
+        record = Record((wave,), len(wave), False, stage, 0, named, reason)
+        found.append(Rebuilt(number, record, holders.get(number)))
+    return found
+
+
+def _read(
+    agent: str,
+    told: Mapping[str, Any],
+    rows: dict[int, dict[str, Row]],
+    targets: dict[int, dict[str, Target]],
+) -> None:
+    """One instance's steps, oldest first: a later word on the same rollout goes before an earlier one."""
+    for step, verdict, reason in told["outcomes"]:
+        if (found := _STEP.fullmatch(step)) is None:
+            continue
+        number, back, name = int(found[1]), bool(found[2]), f"{agent}/{told['name']}"
+        fate = ENDS[verdict]
+        if back:
+            if fate is not Fate.TOOK:
+                continue
+            fate, reason = Fate.UNDONE, "taken back"
+        base = told["previous"] if told["generation"] == number else 0
+        targets.setdefault(number, {})[name] = Target(agent, told["name"], "", base)
+        rows.setdefault(number, {})[name] = Row(fate, reason)
+    if (step := told["step"]) is not None and (found := _STEP.fullmatch(step["id"])) and not found[2]:
+        name = f"{agent}/{told['name']}"
+        targets.setdefault(int(found[1]), {})[name] = Target(agent, told["name"], "", told["generation"])
+        rows.setdefault(int(found[1]), {})[name] = Row(Fate.UNKNOWN, "its step is under way")
--- /dev/null
+++ b/oakbridge/standin/host.py
@@ -0,0 +1,117 @@
+"""A machine whose node processes are played: for tests of agents and rollouts, and for figures with a thousand hosts.
+
+A node's behaviour is read from a comment in its configuration, so that a change brings it along:
+
+    # plays: dies 1.0        it ends by itself, so many seconds after its start
+    # plays: serves 0.9      that share of what it is asked is served, the rest fails
+    # plays: refused         the checker says no
+    # plays: mute            it runs and never answers
+    # plays: weak 1.0        on a host that is weak, it ends by itself like one that dies
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import itertools
+import re
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+PIDS = itertools.count(1_000_000)
+_PLAYS = re.compile(r"# plays: (\w+) ?([\d.]*)")
+
+
+class PlayedNode:
+    """One node that is played."""
+
+    def __init__(self, config: Path, ended: Callable[[str], None], rate: float, weak: bool) -> None:
+        text = config.read_text("utf-8")
+        self.digest = hashlib.sha256(text.encode()).hexdigest()
+        self.plays = {word: float(figure or 1) for word, figure in _PLAYS.findall(text)}
+        self.pid, self.began, self._rate, self._ended = next(PIDS), time.monotonic(), rate, ended
+        self.gone = self.frozen = False
+        self._loop = asyncio.get_running_loop()
+        dies = self.plays.get("dies", self.plays.get("weak") if weak else None)
+        if dies is not None:
+            self._loop.call_later(dies, self.end, "exit code 1")
+
+    def end(self, how: str) -> None:
+        """It ends."""
+        if not self.gone:
+            self.gone = True
+            self._ended(how)
+
+    def send(self, number: signal.Signals) -> None:
+        """It ends by any signal but those that freeze and thaw."""
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self.frozen = number == signal.SIGSTOP
+        else:
+            self._loop.call_soon(self.end, f"signal {int(number)}")
+
+    def leave(self) -> None:
+        """Its agent has ended: nobody hears of it."""
+        self._ended = lambda _: None
+
+    def follow(self, ended: Callable[[str], None]) -> None:
+        """Another agent hears of it."""
+        self._ended = ended
+
+    def status(self) -> dict[str, Any]:
+        """What it says of itself."""
+        answered = int((time.monotonic() - self.began) * self._rate)
+        served = int(answered * self.plays.get("serves", 1.0))
+        return {
+            "pid": self.pid, "ready": True, "config_digest": self.digest, "source": {}, "servers": 1,
+            "answers": {"served": served, "refused": 0, "failed": answered - served},
+        }  # fmt: skip
+
+
+class PlayedHost:
+    """One machine; nodes outlive its agent as they do on a real one."""
+
+    def __init__(self, rate: float = 0.0, weak: bool = False) -> None:
+        """``rate``: requests that each node answers a second."""
+        self.rate, self.weak = rate, weak
+        self.nodes: dict[Path, PlayedNode] = {}
+
+    def find(self, control: Path, ended: Callable[[str], None]) -> PlayedNode | None:
+        """The node that has this control socket."""
+        node = self.nodes.get(control)
+        if node is None or node.gone:
+            return None
+        node.follow(ended)
+        return node
+
+    def start(
+        self,
+        config: Path,
+        name: str,
+        listen: list[str],
+        control: Path,
+        log: Path,
+        ended: Callable[[str], None],
+    ) -> PlayedNode:
+        """Start a node."""
+        node = self.nodes[control] = PlayedNode(config, ended, self.rate, self.weak)
+        return node
+
+    def last_words(self, log: Path) -> str:
+        """Nothing is logged."""
+        return ""
+
+    async def check(self, config: Path) -> str:
+        """The checker."""
+        return f"{config}: refused, as it plays" if "# plays: refused" in config.read_text("utf-8") else ""
+
+    async def ask(self, control: Path, do: str, **arguments: Any) -> Any:
+        """Ask a node how it is."""
+        node = self.nodes.get(control)
+        if node is None or node.gone:
+            raise ConnectionRefusedError(str(control))
+        if node.frozen or "mute" in node.plays:
+            await asyncio.sleep(3600)
+        return node.status()
--- a/tests/agent/test_lease.py
+++ b/tests/agent/test_lease.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from oakbridge.agent.lease import Granted, Lease, Promise, Refused, majority
+from oakbridge.agent.lease import Granted, Lease, Promise, Refused
+from oakbridge.fleet.quorum import majority
 
 S = 1_000_000
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -1,8 +1,11 @@
 """Small fake peers on port 0: a server by script, discovery by hand, a caller that writes bytes."""
 
 import asyncio
+import contextlib
 import itertools
 import json
+import os
+import random
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -34,6 +37,20 @@
 }  # fmt: skip
 
 
+_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+_PORTS = itertools.count(random.randrange(500))
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that nobody has and that no other worker of the tests will be given; below those that the kernel gives."""
+    found: list[int] = []
+    while len(found) < count:
+        port = 12_000 + 1_000 * (_WORKER % 20) + next(_PORTS) % 1_000
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            found.append(port)
+    return found
+
+
 def run(coroutine, limit: float = 2 * LIMIT):
     """Run a test's coroutine; it may not hang."""
 
--- /dev/null
+++ b/tests/rollout/played.py
@@ -0,0 +1,182 @@
+"""A fleet in one process: real agents on played hosts, real conductors, and a network with faults by seed."""
+
+import asyncio
+import random
+from pathlib import Path
+
+from oakbridge.agent.instance import Generation
+from oakbridge.agent.runner import Agent
+from oakbridge.agent.store import Store
+from oakbridge.fleet import wire
+from oakbridge.fleet.ask import Heard, Operator
+from oakbridge.fleet.inventory import Inventory
+from oakbridge.rollout.change import Whole
+from oakbridge.rollout.conduct import Conductor, Options
+from oakbridge.rollout.gate import Rules
+from oakbridge.rollout.journal import Entry, Journal
+from oakbridge.rollout.machine import Record
+from oakbridge.rollout.plan import Target, Waves, plan
+from oakbridge.standin.host import PlayedHost
+
+QUICK = Options(watch=0.05, window=0.05, silent=20.0, rules=Rules())
+
+WAVES = Waves(canary=1, unavailable=99)
+
+
+def config(word: str, plays: str = "") -> dict[str, str]:
+    mark = f"# plays: {plays}\n" if plays else ""
+    return {
+        "oakbridge.toml": f'{mark}[servers]\nfile = "s.toml"\n\n[[class]]\nname = "look"\naim = "{word}"\n',
+        "s.toml": '[[server]]\nname = "a"\naddress = "127.0.0.1:9"\n',
+    }
+
+
+class Network:
+    """Between operators and agents: what is lost, doubled or late is drawn by seed; a frozen agent reads it later."""
+
+    def __init__(self, seed: int = 0, lose: float = 0.0, double: float = 0.0, delay_s: float = 0.0) -> None:
+        self.draw, self.lose, self.double, self.delay_s = random.Random(seed), lose, double, delay_s
+        self.frozen: dict[str, asyncio.Event] = {}
+        self.tasks: set[asyncio.Task] = set()
+
+    def freeze(self, agent: str) -> None:
+        self.frozen[agent] = asyncio.Event()
+
+    def thaw(self, agent: str) -> None:
+        self.frozen.pop(agent).set()
+
+    async def carry(self, agent: Agent, who: wire.Identity, request: wire.Request):
+        await asyncio.sleep(self.draw.random() * self.delay_s)
+        if self.draw.random() < self.lose:
+            await asyncio.sleep(3600)
+        if (gate := self.frozen.get(agent.name)) is not None:
+            await gate.wait()
+        got = await agent.answer(who, *wire.write(request))
+        if self.draw.random() < self.double:
+            got = await agent.answer(who, *wire.write(request))
+        if self.draw.random() < self.lose:
+            await asyncio.sleep(3600)
+        return got
+
+
+class Direct(Operator):
+    """An operator whose calls go by such a network; a call that nobody waits for any more still arrives."""
+
+    def __init__(self, fleet: "PlayedFleet", name: str, within_s: float) -> None:
+        super().__init__(Inventory("f", dict.fromkeys(fleet.agents, ("", 0))), None, within_s, name)
+        self.fleet, self.who = fleet, wire.Identity("f", "operator", name, wire.WRITE)
+
+    async def ask(self, agent, request, within_s=None):
+        network = self.fleet.network
+        task = asyncio.create_task(network.carry(self.fleet.agents[agent], self.who, request))
+        network.tasks.add(task)
+        task.add_done_callback(network.tasks.discard)
+        try:
+            async with asyncio.timeout(min(within_s or self._within, self._within)):
+                status, answer = await asyncio.shield(task)
+        except TimeoutError:
+            return Heard(agent, error="no answer")
+        return Heard(agent, status, answer)
+
+
+class PlayedFleet:
+    """So many hosts with so many instances each; ``async with`` runs their agents."""
+
+    def __init__(
+        self, folder: Path, hosts: int = 4, each: int = 1, network: Network | None = None, **play
+    ) -> None:
+        self.folder, self.each, self.network = folder, each, network or Network()
+        weak = play.pop("weak", ())
+        names = [f"h{i}" for i in range(hosts)]
+        self.hosts = {n: PlayedHost(weak=n in weak, **play) for n in names}
+        self.agents: dict[str, Agent] = {}
+
+    async def __aenter__(self) -> "PlayedFleet":
+        for name in self.hosts:
+            self.start(name)
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        for agent in self.agents.values():
+            agent.end()
+        tasks = list(self.network.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def start(self, name: str) -> None:
+        store = Store(self.folder / name)
+        agent = Agent(store, name, "f", f"z{len(self.agents) % 2}", self.hosts[name], look_s=0.02)
+        for i in range(self.each):
+            agent.add(f"n{i}", ["127.0.0.1:1"], self.folder / name / f"n{i}.sock")
+        agent.begin()
+        self.agents[name] = agent
+
+    def operator(self, name: str = "kari", within_s: float = 5.0) -> Direct:
+        return Direct(self, name, within_s)
+
+    async def targets(self, operator: Operator) -> list[Target]:
+        return [
+            Target(h.agent, row["name"], h.answer["zone"], row["generation"], row["drained"])
+            for h in await operator.ask_all(wire.Status()) if h.status == 200 for row in h.answer["instances"]
+        ]  # fmt: skip
+
+    async def roll(
+        self, change, operator=None, journal=None, waves=WAVES, undo=False, options=QUICK,
+        sources=None, during=None,
+    ):  # fmt: skip
+        """A whole rollout; the conductor, or None where the lease was not to be had."""
+        operator = operator or self.operator()
+        journal = journal or Journal(self.folder)
+        held = await operator.acquire(60.0)
+        if not held.won(len(self.agents)):
+            return None
+        targets = [t for t in await self.targets(operator) if sources is None or t.name in sources]
+        record = Record(tuple(map(tuple, plan(targets, waves))), waves.unavailable, undo)
+        journal.add(Entry(held.token, operator.name, 0.0, 0.0, "", change, record))
+        conductor = Conductor(operator, journal, held.token, change, record, held, options, sources=sources)
+        return await self._run(conductor, during)
+
+    async def resume(self, rollout: int, operator=None, journal=None, options=QUICK):
+        operator, journal = operator or self.operator(), journal or Journal(self.folder)
+        while not (held := await operator.acquire(60.0)).won(len(self.agents)):
+            pass  # some calls were lost
+        entry = journal.entry(rollout)
+        return await self._run(
+            Conductor(operator, journal, rollout, entry.change, entry.record, held, options)
+        )
+
+    @staticmethod
+    async def _run(conductor: Conductor, during=None) -> Conductor:
+        task = asyncio.create_task(conductor.run())
+        if during is not None:
+            await during(conductor)
+        await task
+        await conductor.operator.release(conductor.held)
+        return conductor
+
+    async def first(self, word: str = "1s") -> Conductor:
+        done = await self.roll(Whole(config(word)), waves=Waves(canary=0, shares=(1.0,), unavailable=999))
+        assert done.machine.complete(), done.machine.report()
+        return done
+
+    def truth(self) -> dict[str, str]:
+        """What each instance's own process runs, by the aim in its configuration; "-" where none runs."""
+        found = {}
+        for name, agent in self.agents.items():
+            for i in range(self.each):
+                node = self.hosts[name].nodes.get(self.folder / name / f"n{i}.sock")
+                place = agent.store.current(f"n{i}")
+                text = (place / "oakbridge.toml").read_text() if place.exists() else 'aim = "-"'
+                word = text.split('aim = "')[1].split('"')[0]
+                found[f"{name}/n{i}"] = word if node is not None and not node.gone else "-"
+        return found
+
+    def files(self, name: str) -> dict[str, str]:
+        agent, _, instance = name.partition("/")
+        store = self.agents[agent].store
+        return store.read(instance, Generation(store.shown(instance)))
+
+
+def fates(conductor: Conductor) -> dict[str, str]:
+    return {name: row.fate.value for name, row in conductor.machine.report().items()}
--- a/tests/rollout/test_machine.py
+++ b/tests/rollout/test_machine.py
@@ -5,7 +5,18 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from oakbridge.rollout.gate import Judgement, Word
-from oakbridge.rollout.machine import Fate, Finish, Judge, Keep, Record, Rollout, Send, Stage, TakeBack
+from oakbridge.rollout.machine import (
+    Fate,
+    Finish,
+    Judge,
+    Keep,
+    Record,
+    Rollout,
+    Send,
+    Settle,
+    Stage,
+    TakeBack,
+)
 from oakbridge.rollout.plan import Target
 
 PASS, FAIL = Judgement(Word.PASS, "as good"), Judgement(Word.FAIL, "it serves less")
@@ -93,6 +104,35 @@
     assert fates(r) == "a:took it b:took it"
 
 
+def test_a_resume_takes_along_those_that_were_silent():
+    """In a rollout that was done they get their step again; in one that was halted they are only asked."""
+    r = rollout("ab", unavailable=2)
+    r.begin()
+    r.silent("h/a", "no answer", 7.0)
+    took(r, "b")
+    assert kinds(r.judged(PASS)) == [Finish] and r.record.stage is Stage.DONE and not r.complete()
+    again = Rollout(r.record)
+    assert sent(again.begin()) == ["a"] and kinds(took(again, "a")) == [Judge]
+    assert kinds(again.judged(PASS)) == [Finish] and again.complete()
+
+    halted = rollout("abc", unavailable=2)
+    halted.begin()
+    halted.silent("h/a", "no answer", 7.0)
+    halted.ended("h/b", Fate.DID_NOT)
+    again = Rollout(halted.record)
+    assert kinds(again.begin()) == [Settle]
+    assert kinds(again.ended("h/a", Fate.TOOK)) == [Finish]
+    assert fates(again) == "a:took it b:did not c:not reached"
+
+    undone = rollout("ab", unavailable=2, undo=True)
+    undone.begin()
+    undone.silent("h/a", "no answer", 7.0)
+    undone.ended("h/b", Fate.UNDONE)
+    again = Rollout(undone.record)
+    assert kinds(again.begin()) == [Settle] and kinds(again.ended("h/a", Fate.TOOK)) == [TakeBack]
+    assert kinds(again.taken_back("h/a")) == [Finish] and again.record.stage is Stage.UNDONE
+
+
 def test_what_was_said_stays_said():
     r = rollout("a", "b")
     r.begin()
@@ -151,6 +191,9 @@
             fate = self.done.setdefault(name, will)  # a step that is sent again has the same end
             self.truth[name] = fate is Fate.TOOK and name not in self.back
             self.news.append((name, fate))
+        elif isinstance(action, Settle):
+            name = action.target.instance
+            self.news.append((name, self.done.setdefault(name, Fate.DID_NOT)))  # refused from now on
         elif isinstance(action, TakeBack):
             self.back.append(action.target.instance)
             self.truth[action.target.instance] = False
--- /dev/null
+++ b/tests/rollout/test_played.py
@@ -0,0 +1,247 @@
+"""Rollouts over agents on played hosts: every kind of change, gates, freezes, races and kills, by seed."""
+
+import asyncio
+import itertools
+import random
+
+import pytest
+from peers import LIMIT, run
+from played import QUICK, Network, PlayedFleet, config, fates
+
+from oakbridge.fleet import wire
+from oakbridge.rollout.change import Back, Drain, ServerFile, Undrain, Values, Whole
+from oakbridge.rollout.conduct import Options
+from oakbridge.rollout.gate import Rules
+from oakbridge.rollout.journal import Journal
+from oakbridge.rollout.machine import Stage
+from oakbridge.rollout.plan import Waves
+from oakbridge.rollout.rebuild import rebuild
+
+
+async def until(what) -> None:
+    async with asyncio.timeout(LIMIT):
+        while not what():
+            await asyncio.sleep(0.01)
+
+
+def test_each_kind_of_change_and_the_way_back(tmp_path):
+    async def test():
+        async with PlayedFleet(tmp_path, 3) as fleet:
+            first = await fleet.first()
+            assert (
+                await fleet.roll(Values({"class.look.aim": "2s", "limits.max_open": 77}))
+            ).machine.complete()
+            text = fleet.files("h1/n0")["oakbridge.toml"]
+            assert (
+                set(fleet.truth().values()) == {"2s"} and "max_open = 77" in text and 'name = "look"' in text
+            )
+            assert (await fleet.roll(ServerFile('[[server]]\nname = "b"\n'))).machine.complete()
+            assert '"b"' in fleet.files("h0/n0")["s.toml"] and set(fleet.truth().values()) == {"2s"}
+            # One host drains; a change meanwhile leaves it drained, and brings it along.
+            drained = await fleet.roll(Drain("a new disk"), sources={"h1/n0": 0} | {"h1/n0": 3})
+            assert fates(drained) == {"h1/n0": "took it"} and fleet.truth()["h1/n0"] == "-"
+            third = await fleet.roll(Whole(config("3s")))
+            assert third.machine.complete() and list(fleet.truth().values()) == ["3s", "-", "3s"]
+            assert (await fleet.roll(Undrain())).machine.complete() and set(fleet.truth().values()) == {"3s"}
+            # Back to before the third: each to what it ran then, also the one that was drained.
+            journal = Journal(fleet.folder)
+            before = {t.name: t.base for w in journal.entry(third.rollout).record.waves for t in w}
+            back = await fleet.roll(Back(third.rollout), sources=before)
+            assert back.machine.complete() and list(fleet.truth().values()) == ["2s", "-", "2s"]
+            bad = await fleet.roll(Values({"class.lok.aim": "2s"}))
+            assert (
+                bad.machine.record.stage is Stage.HALTED
+                and "there is none of that name" in bad.machine.record.reason
+            )
+            assert first.rollout == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("plays", "setup", "ends", "says"),
+    [
+        ("dies 0.1", {}, {"undone": 1, "not reached": 5}, "exit code 1"),
+        ("mute", {}, {"undone": 1, "not reached": 5}, "not ready"),
+        ("refused", {}, {"did not": 1, "not reached": 5}, "refused, as it plays"),
+        ("weak 0.1", {"weak": ("h2",)}, {"undone": 3, "not reached": 3}, "exit code 1"),
+        ("serves 0.9", {"rate": 20_000}, {"undone": 1, "not reached": 5}, "it serves less"),
+        ("serves 0.999", {"rate": 20_000}, {"took it": 6}, ""),
+    ],
+)  # fmt: skip
+def test_harm_is_halted_where_it_shows_and_undone_everywhere(tmp_path, monkeypatch, plays, setup, ends, says):
+    """At the canary, or at half where only some hosts suffer; by a crash in the watch, or by the share served."""
+    monkeypatch.setattr("oakbridge.agent.instance.READY_WITHIN", 300_000)
+
+    async def test():
+        async with PlayedFleet(tmp_path, 6, **setup) as fleet:
+            await fleet.first()
+            options = Options(watch=0.3, window=0.6, silent=20.0, rules=Rules())
+            waves = Waves(canary=1, shares=(0.5, 1.0), unavailable=1)
+            done = await fleet.roll(Whole(config("2s", plays)), waves=waves, undo=True, options=options)
+            told = list(fates(done).values())
+            assert {word: told.count(word) for word in told} == ends and says in done.machine.record.reason
+            await until(lambda: set(fleet.truth().values()) == ({"2s"} if "took it" in ends else {"1s"}))
+
+    run(test())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_frozen_agents_are_unknown_and_a_resume_takes_them_along(tmp_path, seed):
+    """Whole agents stop at a time by seed, also while the lease is asked for again; what is silent holds up nobody."""
+
+    async def test():
+        draw = random.Random(seed)
+        async with PlayedFleet(tmp_path, 10, 2, Network(seed, delay_s=0.01)) as fleet:
+            await fleet.first()
+            chosen = draw.sample(sorted(fleet.agents), 3)
+
+            async def freeze(conductor):
+                await asyncio.sleep(draw.random() * 0.6)
+                for name in chosen:
+                    fleet.network.freeze(name)
+
+            options = Options(watch=0.05, window=0.05, silent=2.0, rules=Rules())
+            waves = Waves(canary=2, shares=(0.5, 1.0), unavailable=20)
+            done = await fleet.roll(Whole(config("2s")), waves=waves, options=options, during=freeze)
+            truth = fleet.truth()
+            for name, fate in fates(done).items():
+                assert fate == "unknown" or (fate == "took it") == (truth[name] == "2s"), (name, fate)
+                assert name.split("/")[0] in chosen or fate in ("took it", "not reached")
+            for name in chosen:
+                fleet.network.thaw(name)
+            again = await fleet.resume(done.rollout)
+            if done.machine.record.stage is Stage.HALTED:  # it only asks: nothing more is changed
+                assert "unknown" not in fates(again).values()
+            else:
+                assert again.machine.complete() and set(fleet.truth().values()) == {"2s"}
+            last = await fleet.roll(Whole(config("3s")))
+            assert last.machine.complete() and set(fleet.truth().values()) == {"3s"}
+
+    run(test(), 4 * LIMIT)
+
+
+def test_a_network_that_loses_doubles_and_delays_changes_nothing_of_the_end(tmp_path):
+    async def test(seed):
+        network = Network(seed, lose=0.1, double=0.2, delay_s=0.02)
+        async with PlayedFleet(tmp_path / str(seed), 4, 2, network) as fleet:
+            operator, options = fleet.operator(within_s=0.3), Options(0.05, 0.05, 3.0)
+            for number in itertools.count():
+                held = await fleet.roll(Whole(config(f"{number}s")), operator=operator, options=options)
+                if held is None:
+                    continue
+                while not held.machine.complete():
+                    assert held.machine.record.stage is not Stage.UNDONE
+                    if held.machine.record.stage is Stage.HALTED:
+                        break  # the lease was lost to the network: another rollout brings all to one end
+                    held = await fleet.resume(held.rollout, operator, options=options)
+                if held.machine.complete():
+                    truth = fleet.truth()
+                    assert {truth[name] for name in fates(held)} == {f"{number}s"}
+                    if len(fates(held)) == len(truth):  # nobody was overheard when the waves were made
+                        return
+
+    run(asyncio.wait_for(_all(test(seed) for seed in range(12)), 4 * LIMIT), 5 * LIMIT)
+
+
+async def _all(tests):
+    await asyncio.gather(*tests)
+
+
+@pytest.mark.parametrize("part", range(4))
+def test_two_operators_at_once_have_one_winner_each_of_fifty_times(tmp_path, part):
+    """Four agents, so that neither may get more than half at first; the loser is told who has it."""
+
+    async def race(seed):
+        draw = random.Random(seed)
+        fleet = PlayedFleet(tmp_path / str(seed), 4, 1, Network(seed, delay_s=0.01))
+        async with fleet:
+
+            async def one(name, word):
+                await asyncio.sleep(draw.random() * 0.01)
+                (fleet.folder / name).mkdir()
+                operator, journal = fleet.operator(name), Journal(fleet.folder / name)
+                done = await fleet.roll(Whole(config(word)), operator, journal, Waves(0, (1.0,), False, 9))
+                journal.close()
+                return done
+
+            words = {"kari": "1s", "ola": "2s"}
+            done = dict(
+                zip(words, await asyncio.gather(*(one(*pair) for pair in words.items())), strict=True)
+            )
+            winners = [name for name, conductor in done.items() if conductor is not None]
+            rollouts = [conductor.rollout for conductor in done.values() if conductor is not None]
+            assert winners and len(set(rollouts)) == len(rollouts)
+            # Where both won, the second asked after the first was done: both stand whole, one after the other.
+            reasons = [c.machine.record.reason for c in done.values() if c is not None]
+            assert all(c is None or c.machine.complete() for c in done.values()), (seed, reasons)
+            last = max((c for c in done.values() if c is not None), key=lambda c: c.rollout)
+            assert set(fleet.truth().values()) == {words[last.operator.name]}
+            return len(winners)
+
+    async def races():
+        counts = []
+        for first in range(50 * part, 50 * part + 50, 10):
+            counts += await asyncio.gather(*map(race, range(first, first + 10)))
+        assert counts.count(1) > 40
+
+    run(races(), 4 * LIMIT)
+
+
+def test_a_journal_that_is_lost_is_rebuilt_from_the_agents(tmp_path):
+    async def test():
+        async with PlayedFleet(tmp_path, 3) as fleet:
+            await fleet.first()
+            second = await fleet.roll(Whole(config("2s")))
+            third = await fleet.roll(Whole(config("3s", "dies 0.01")))
+            third = await fleet.roll(Whole(config("3s", "refused")))
+            heard = await fleet.operator().ask_all(wire.Status())
+            found = rebuild({h.agent: h.answer["instances"] for h in heard})
+            told = {r.id: (r.record.stage, sorted(row.fate.value for _, row in r.record.rows)) for r in found}
+            assert told[1] == told[second.rollout] == (Stage.DONE, ["took it"] * 3)
+            assert told[third.rollout] == (Stage.UNDONE, ["did not"])
+            by_id = {r.id: r for r in found}
+            assert by_id[second.rollout].held_by is not None and by_id[third.rollout].held_by is None
+            assert {t.base for t in by_id[second.rollout].record.waves[0]} == {1}
+
+    run(test())
+
+
+def test_an_instance_that_is_gone_or_new_during_a_rollout(tmp_path):
+    """One that was removed did not take it; one that came later is in no wave, and in the next rollout."""
+
+    async def test():
+        async with PlayedFleet(tmp_path, 3) as fleet:
+            await fleet.first()
+
+            async def change(conductor):
+                fleet.agents["h2"].managed.pop("n0").end()
+                fleet.agents["h0"].add("n9", ["127.0.0.1:1"], fleet.folder / "h0" / "n9.sock")
+                fleet.agents["h0"].managed.update(fleet.agents["h0"].spawn("n9"))
+
+            done = await fleet.roll(Whole(config("2s")), waves=Waves(0, (0.4, 1.0), False, 1), during=change)
+            assert fates(done)["h2/n0"] == "did not" and "there is no n0 here" in done.machine.record.reason
+            assert "h0/n9" not in fates(done)
+            last = await fleet.roll(Whole(config("3s")))
+            assert fates(last)["h0/n9"] == "took it"
+
+    run(test())
+
+
+def test_a_lease_is_lost_when_another_tool_takes_it_and_nothing_more_is_sent(tmp_path, monkeypatch):
+    monkeypatch.setattr("oakbridge.rollout.conduct.RENEW_S", 0.05)
+
+    async def test():
+        async with PlayedFleet(tmp_path, 3) as fleet:
+            await fleet.first()
+
+            async def take(conductor):
+                await asyncio.sleep(0.1)
+                await fleet.operator("kari").acquire(60.0)  # the same holder, from another tool
+
+            done = await fleet.roll(Whole(config("2s")), options=Options(0.3, 0.3, 5.0), during=take)
+            assert done.machine.record.stage is Stage.HALTED and "lease" in done.machine.record.reason
+            assert "not reached" in fates(done).values()
+            assert QUICK.watch == 0.05
+
+    run(test())
