Make a decision cost the same with ten thousand servers as with ten

Change: servers are kept in pools by side, zone and ejection (policy/membership.py): draws by size in constant time, a bounded look where draws find nobody, a heap for the ejected, indexes for keyed groups and old versions. The distribution of choices is that of the old rule, which stands in the tests as reference. A state machine found that a server that was ejected anew before its return never came back; mended.

--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,138 @@
+"""What one decision costs by the number of servers, and what a list costs; the same with another checkout beside it.
+
+    python benchmarks/decisions.py [--against FOLDER] [--repeats 5] [--json]
+
+A decision is a request and its end, five others being out.  Times are medians over repeats, each in a process of its
+own; the two programs take turns, so that what else the machine does meets both.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+import subprocess
+import sys
+import time
+from collections import deque
+from pathlib import Path
+from typing import Any
+
+COUNTS = (10, 100, 1_000, 10_000)
+CASES = ("plain", "weights 0.001 to 1,000", "all but three ejected", "all cold", "all in another zone")
+
+
+def play(case: str, count: int) -> float:
+    """Microseconds for one decision."""
+    import random
+
+    from oakbridge.policy import vocabulary as api
+    from oakbridge.policy.balancer import Balancer
+
+    more: dict[str, Any] = {}
+    draw = random.Random(3)
+    entries = [api.ListedServer(f"s{i}", zone="b") for i in range(count)]
+    if case.startswith("weights"):
+        more["size_source"] = api.NOMINAL
+        entries = [api.ListedServer(f"s{i}", size=10 ** draw.uniform(-3, 3)) for i in range(count)]
+    elif case == "all cold":
+        more |= {"warm_up": 600_000_000, "cold_from": 0.2}
+        entries = [api.ListedServer(f"s{i}", started=1_000_000) for i in range(count)]
+    elif case == "all in another zone":
+        more |= {"zone": "a", "zones": ("a", "b"), "prices": api.Prices(cross_zone=1.0)}
+    klass = api.RequestClass("look", 2_500_000, 6_000_000, repeat="safe")
+    b = Balancer(api.Settings(classes=(klass,), instances=10, **more), 7)
+    now, number = 1_000_000, 0
+    b.handle(now, api.ServerList(entries))
+    out: deque[tuple[int, str, int]] = deque()
+
+    def some(requests: int) -> float:
+        nonlocal now, number
+        first, begin = number, time.perf_counter()
+        while number < first + requests and time.perf_counter() - begin < 0.5:
+            now, number = now + 200, number + 1
+            for action in b.handle(now, api.Request(number, "look", time_left=5_000_000)):
+                if isinstance(action, api.Send):
+                    out.append((number, action.server, now))
+            if len(out) > 5:
+                request, server, sent = out.popleft()
+                b.handle(now, api.AttemptEnded(request, 0, server, api.Result.OK, now - sent, finished=True))
+        return (time.perf_counter() - begin) / (number - first) * 1e6
+
+    some(300)
+    if case == "all but three ejected":
+        for s in list(b.servers.values())[3:]:
+            s.ejected_until = now + 600_000_000
+            if hasattr(b, "members"):
+                b.members.judged(s, now)
+    return min(some(300) for _ in range(3))
+
+
+def lists(count: int) -> tuple[float, float]:
+    """Microseconds for a delta of one server among many, and for a whole list half of which is new."""
+    from oakbridge.policy import vocabulary as api
+    from oakbridge.policy.balancer import Balancer
+
+    settings = api.Settings(classes=(api.RequestClass("x", 10, 20),), instances=100, one_version=True)
+    b = Balancer(settings, 3)
+    b.handle(1, api.ServerList([api.ListedServer(f"s{i}") for i in range(count)]))
+    took = []
+    for i in range(50):
+        change = [api.ListedServer(f"new{i}"), api.ListedServer(f"s{i}", state=api.GONE)]
+        begin = time.perf_counter()
+        b.handle(2 + i, api.ServerList(change, whole=False))
+        took.append((time.perf_counter() - begin) * 1e6)
+    whole = [api.ListedServer(f"s{i}") for i in range(count // 2, count + count // 2)]
+    for start in range(0, count, 200):  # records are made ahead, as a node does
+        b.handle(100, api.Upcoming(whole[start : start + 200]))
+    begin = time.perf_counter()
+    b.handle(100, api.ServerList(whole))
+    return statistics.median(took), (time.perf_counter() - begin) * 1e6
+
+
+def one(folder: str, words: list[str]) -> Any:
+    """One figure, in a process of its own with the program of that folder."""
+    command = [sys.executable, str(Path(__file__).absolute()), "--one", *words]
+    done = subprocess.run(command, capture_output=True, text=True, check=True, env={"PYTHONPATH": folder})
+    return json.loads(done.stdout)
+
+
+def main() -> None:
+    """Measure, and print a table."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--against", help="a folder with another checkout")
+    parser.add_argument("--repeats", type=int, default=5)
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--one", nargs=2, help=argparse.SUPPRESS)
+    given = parser.parse_args()
+    if given.one:
+        case, count = given.one[0], int(given.one[1])
+        print(json.dumps(lists(count) if case == "lists" else play(case, count)))
+        return
+    folders = {"now": str(Path(__file__).parents[1])} | ({"before": given.against} if given.against else {})
+    found: dict[str, dict[str, list[Any]]] = {}
+    for _ in range(given.repeats):
+        for case in (*CASES, "lists"):
+            for count in COUNTS:
+                for name, folder in folders.items():
+                    figure = one(folder, [case, str(count)])
+                    found.setdefault(f"{case}|{count}", {}).setdefault(name, []).append(figure)
+    if given.json:
+        print(json.dumps(found, indent=1))
+        return
+    print(f"{'microseconds':24}" + "".join(f"{f'{n} {c:,}':>15}" for c in COUNTS for n in folders))
+    for case in CASES:
+        row = [statistics.median(found[f"{case}|{count}"][name]) for count in COUNTS for name in folders]
+        print(f"{case:24}" + "".join(f"{figure:15.1f}" for figure in row))
+    for place, what in enumerate(("a delta of one server", "a whole list, half new")):
+        row = [
+            statistics.median(figures[place] for figures in found[f"lists|{count}"][name])
+            for count in COUNTS for name in folders
+        ]  # fmt: skip
+        print(f"{what:24}" + "".join(f"{figure:15.1f}" for figure in row))
+
+
+if __name__ == "__main__":
+    main()
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -14,10 +14,11 @@
 import math
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from oakbridge.policy import vocabulary as api
+from oakbridge.policy.membership import EJECT_FOR, LOOKS, SCORE_LOW, Membership, Server, Side, shuffled
 from oakbridge.policy.retry_budget import SECOND, RetryBudget
 from oakbridge.policy.vocabulary import GONE, KEYED, NEVER_RAN, SAFE, UNSAFE, UP, Result
 
@@ -27,8 +28,8 @@
 BACKOFF_SHARE = 100
 # Health is the log of the odds that a server fails most calls; see Health.
 BAD_RATE, OK_RATE = 0.7, 0.01
-SCORE_LOW, SCORE_EJECT, SCORE_HIGH = -2.0, 2.5, 5.0
-EJECT_FOR, EJECT_MOST, EJECT_SHARE = SECOND, 16 * SECOND, 0.34  # never more than that share of the tier
+SCORE_EJECT, SCORE_HIGH = 2.5, 5.0
+EJECT_MOST, EJECT_SHARE = 16 * SECOND, 0.34  # never more than that share of the tier
 HANG_MEANS = 4.0  # a call out for so many mean latencies, while newer ones elsewhere were answered, is a hang
 # Subset: members for each server's share of copies, and own calls per member that widen or narrow it.
 COVER, WIDEN_AT, NARROW_AT = 5, 1.0, 0.25
@@ -38,41 +39,10 @@
 LEAST_EACH = 2.0  # never fewer for each server, by this copy's part
 URGENT = 2.0  # times the usual worth for its time: such a call may overdraw; see Admission.open
 BURST, CREDIT = 4.0, 2  # calls: a limit below that holds on average, over so many seconds; see Admission.open
+QUICK = 6  # draws before a full look
 LIFO_AFTER, START_EACH, START_MANY = 0.2, 12.0, 3.5  # of the time to the aim; calls a server at the start
 
 
-class Server:
-    """What this copy knows of one server: what discovery said, own calls out, and how they ended."""
-
-    __slots__ = ("id", "zone", "cell", "size", "started", "out", "score", "scored_at", "ejected_until",
-                 "eject_for", "last_sent", "tokens", "tokens_at", "cap", "answered", "slowness",
-                 "paced", "queued", "reported", "gone", "joined", "place")  # fmt: skip
-
-    def __init__(self, entry: api.ListedServer, size: float = 1.0) -> None:
-        self.id = entry.id
-        self.out: dict[tuple[int, int], Attempt] = {}  # unanswered calls, oldest first
-        self.last_sent = self.answered = self.reported = 0
-        self.queued = 0.0  # requests that wait there, by its last report
-        self.started, self.place = -1, ""
-        self.joined = 0  # the version since which it has been listed without a break
-        self.relist(entry, size)
-
-    def relist(self, entry: api.ListedServer, size: float = 1.0) -> None:
-        """Take changed facts over; a server that has restarted starts with a clean record."""
-        self.zone, self.cell, self.size, self.gone = entry.zone, entry.cell, size, False
-        if entry.started != self.started or entry.place != self.place:
-            self.started, self.place = entry.started, entry.place
-            self.score, self.scored_at = SCORE_LOW, 0
-            self.ejected_until, self.eject_for = 0, EJECT_FOR
-            self.tokens, self.tokens_at = 0.0, -1
-            self.slowness, self.paced = 1.0, 0  # see Balancer.slowness
-            self.cap = math.inf  # own calls out that it takes, once it has turned one away
-
-    def same_group(self, where: tuple[str, int], group: str) -> bool:
-        """Whether it drops repeats of a keyed request that was sent to that zone and cell."""
-        return group == "all" or (self.zone == where[0] if group == "zone" else self.cell == where[1])
-
-
 class Attempt:
     """One attempt of a request."""
 
@@ -145,6 +115,10 @@
 
     def note(self, s: Server, failed: bool, now: int) -> None:
         """Take one outcome in; ejects for a growing while once failing is far likelier than not."""
+        if not failed and s.score <= SCORE_LOW:  # as nearly all are: nothing to learn but the tier's rate
+            s.ejected_until, s.eject_for, s.scored_at = 0, EJECT_FOR, now
+            self.rate -= 0.02 * self.rate
+            return
         s.score = self.score(s, now)
         s.scored_at = now
         p = min(max(self.rate, OK_RATE), 0.95)
@@ -311,10 +285,11 @@
         # Inner tiers leave time for their callers, also when calls carry no time left.
         self.time_share = 1 - settings.tier / (2 * settings.tiers)
         self.latency = {c.name: Latency(c.aim / 5 * self.time_share) for c in settings.classes}
-        self.servers: dict[str, Server] = {}  # those that may be sent to
+        self.home = settings.zone if settings.prices.cross_zone > 0 and len(settings.zones) > 1 else ""
+        self.members = Membership(self.home)
+        self.servers = self.members.servers  # those that may be sent to
         self.known: dict[str, Server] = {}  # those, and any that drain or have calls out
-        self.subset: list[Server] = []
-        self.spare: list[Server] = []
+        self.subset, self.spare = self.members.subset, self.members.spare
         self.calls: dict[int, Call] = {}
         self.version = 0  # of the list: one more with each that is taken
         self.upcoming: list[str] = []
@@ -331,7 +306,6 @@
         }  # fmt: skip
         self.must_ask = settings.must_ask
         self.sized = settings.size_source in (api.NOMINAL, api.ROUGH)  # a live size echoes what copies did
-        self.home = settings.zone if settings.prices.cross_zone > 0 and len(settings.zones) > 1 else ""
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event; returns the actions to carry out now, in order."""
@@ -377,14 +351,13 @@
         self.version += 1
         before, dropped = len(self.servers), list[Server]()
         for entry in event.servers:
-            server = self.record(entry)
+            server = self.record(entry, now)
             if entry.state != UP:
                 server.gone = entry.state == GONE
                 dropped.append(server)
             elif entry.id not in self.servers:
-                self.servers[entry.id] = server
-                self.spare.append(server)
                 server.joined = self.version
+                self.members.add(server, now)
         if event.whole:
             listed = {entry.id for entry in event.servers}
             for server in [s for s in self.known.values() if s.id not in listed]:
@@ -402,28 +375,27 @@
         if not self.admission.flow:  # no rush at the start, least of all where copies outnumber servers
             self.admission.limit = share * (START_EACH if share >= 1 else START_MANY)
             self.admission.window = 8 if share < 1 else 32
-        while self.spare and len(self.subset) < self.least():
-            self.draw()
+        while len(self.spare) and len(self.subset) < self.least():
+            self.draw(now)
         self.dispatch(now)
 
-    def record(self, entry: api.ListedServer) -> Server:
+    def record(self, entry: api.ListedServer, now: int) -> Server:
         """What is kept of a server, with the facts as they are listed now."""
         size = entry.size if self.sized and entry.size > 0 else 1.0
         server = self.known.get(entry.id)
         if server is None:
             server = self.known[entry.id] = Server(entry, size)
             return server
-        moved = server.place != entry.place
-        server.relist(entry, size)
-        if moved:
-            server.joined = self.version  # another process: what keeps to an older list may not go there
+        # At another place it is another process: what keeps to an older list may not go there.
+        joined = server.joined if server.place == entry.place else self.version
+        self.members.relist(server, entry, size, joined, now)
         return server
 
     def on_upcoming(self, now: int, event: api.Upcoming) -> None:
         """Make records ahead for servers that are new; nothing is sent there before a list names them."""
         for entry in event.servers:
             if entry.id not in self.known:
-                self.record(entry)
+                self.record(entry, now)
                 self.upcoming.append(entry.id)
 
     def watch_after(self, now: int, wait: float) -> None:
@@ -433,17 +405,14 @@
     def drop(self, servers: list[Server], now: int) -> None:
         """Send nothing more to these servers."""
         for server in servers:
-            self.servers.pop(server.id, None)
+            self.members.remove(server)
             self.lose(server)
-        if servers:
-            self.subset = [s for s in self.subset if s.id in self.servers]
-            self.spare = [s for s in self.spare if s.id in self.servers]
-        if self.settings.one_version:
+        if self.settings.one_version and self.safety.oldest != self.members.oldest():
             self.strand(now)
 
     def strand(self, now: int) -> None:
         """Give up at once what keeps to a list of which no server is left: nothing can be sent for it."""
-        self.safety.oldest = min((s.joined for s in self.servers.values()), default=math.inf)
+        self.safety.oldest = self.members.oldest()
         for call in [c for c in self.calls.values() if c.attempts and c.version < self.safety.oldest]:
             if not call.out:
                 self.end(call, now)
@@ -463,10 +432,10 @@
             return
         self.reviewed = now
         pressure = self.admission.out / max(1, len(self.subset))
-        if (pressure > WIDEN_AT or self.failed_lately > 0.1) and self.spare:
-            self.draw()
+        if (pressure > WIDEN_AT or self.failed_lately > 0.1) and len(self.spare):
+            self.draw(now)
         elif pressure < NARROW_AT and len(self.subset) > self.least():
-            self.spare.append(self.subset.pop(self.random.randrange(len(self.subset))))
+            self.members.move(self.subset.any(self.random), self.spare, now)
 
     def warmth(self, s: Server, now: int) -> float:
         """The least share of its capacity that a server can have by now."""
@@ -507,14 +476,21 @@
         unsafe = call.klass.repeat == UNSAFE and not self.all_unsafe
         if s.ejected_until and (now < s.ejected_until or s.out or unsafe):  # later one safe call tries it
             return False
-        return len(s.out) < s.cap and not self.cold_full(s, now) and not self.hangs(s, now)
+        if s.started and self.cold_full(s, now):
+            return False
+        return not s.out or (len(s.out) < s.cap and not self.hangs(s, now))
 
     def load(self, s: Server, now: int) -> tuple[float, float]:
         """How busy it counts: own calls out, more after failures and while it is slow; then its rest."""
-        own = (len(s.out) + self.health.score(s, now) - SCORE_LOW) / self.warmth(s, now)
+        own = float(len(s.out))
+        if s.score > SCORE_LOW:
+            own += self.health.score(s, now) - SCORE_LOW
+        if s.started:
+            own /= self.warmth(s, now)
         # Few own calls tell little: for a while a slow server's calls weigh more.
         # Its last report is old and noisy: a correction that fades.  Crossing needs a busy neighbour.
-        own += REPORT_TRUST * s.queued * max(0.0, 1 - (now - s.reported) / (2 * SECOND))
+        if s.queued:
+            own += REPORT_TRUST * s.queued * max(0.0, 1 - (now - s.reported) / (2 * SECOND))
         busy = (own + s.size) / s.size * self.slowness(s, now)
         return busy * (CROSSING if self.home and s.zone != self.home else 1), (s.last_sent - now) * s.size
 
@@ -523,32 +499,52 @@
         """Its latest latencies as a multiple of the tier's; it fades, so that the server is tried again."""
         return 0.9 + (s.slowness - 0.9) * math.exp((s.paced - now) / (8 * SECOND))
 
-    def shuffled(self, members: list[Server]) -> list[Server]:
-        """The members in random order, larger ones likelier first, so that each server gets its part.
-
-        Where crossing zones has a price, one of the own zone comes first, so that any pair has one.
-        """
-        order = sorted(members, key=lambda s: self.random.expovariate(s.size))
-        near = next((i for i, s in enumerate(order) if s.zone == self.home), 0) if self.home else 0
-        order.insert(0, order.pop(near)) if near else None
-        return order
-
-    def draw(self) -> None:
+    def draw(self, now: int) -> None:
         """Widen the subset by a random spare server; where crossing has a price, half are of the own zone."""
-        near: list[int] = []
-        if self.home and 2 * sum(s.zone == self.home for s in self.subset) <= len(self.subset):
-            near = [i for i, s in enumerate(self.spare) if s.zone == self.home]
-        place = self.random.choice(near) if near else self.random.randrange(len(self.spare))
-        self.subset.append(self.spare.pop(place))
+        own, spare = self.subset.near.count + self.subset.near_out.count, self.spare
+        near = (
+            bool(self.home) and 2 * own <= len(self.subset) and bool(spare.near.count + spare.near_out.count)
+        )
+        self.members.move(spare.any(self.random, near), self.subset, now)
+
+    def offer(self, side: Side, few: list[Server] | None, whole: bool = False) -> Iterable[Server]:
+        """Members of a side in random order; ``few``: all that a call may go to, where that is a small part."""
+        if few is None:
+            return side.offer(self.random, bool(self.home), whole)
+        return shuffled([s for s in few if s.side is side], self.random)
+
+    def few(self, call: Call) -> list[Server] | None:
+        """The servers that a call is confined to, where these are too few for draws from all to find them."""
+        found: list[Server] | None = None
+        if (
+            call.klass.repeat == KEYED
+            and call.klass.group != "all"
+            and (ran := self.safety.may_have_run(call))
+        ):
+            group = self.members.group(ran[0].where, call.klass.group)
+            found = list(group.values()) if len(group) <= LOOKS else None
+        if found is None and self.safety.one_version and call.version < self.version:
+            found = self.members.since(call.version)
+        return found if found is not None and len(found) <= LOOKS else None
 
     def pick(self, call: Call, now: int) -> list[Server]:
         """Two random members that this call may go to; further ones only where those can't be used."""
-        tried = {a.server.id for a in call.attempts}
+        self.members.come_back(now)
         even, pair = math.ceil((self.admission.out + 1) / max(1, len(self.subset))), list[Server]()
+        if not call.attempts and not self.home and (pool := self.subset.near).count:
+            for _ in range(QUICK):  # nearly always two of the first few draws may be used
+                s = pool.draw(self.random)
+                if len(s.out) < even and s not in pair and self.usable(s, call, now):
+                    pair.append(s)
+                    if len(pair) == 2:
+                        return pair
+            pair.clear()
+        tried = {a.server.id for a in call.attempts}
+        few = self.few(call) if tried else None
         # A member with more than its even part of own calls is passed over while others have less.
         for members, most in ((self.subset, even), (self.subset, math.inf), (self.spare, math.inf)):
-            for s in self.shuffled(members):
-                if s.id in tried or len(s.out) >= most or not self.safety.may_send(call, s, now):
+            for s in self.offer(members, few):
+                if len(s.out) >= most or s.id in tried or (tried and not self.safety.may_send(call, s, now)):
                     continue
                 if self.usable(s, call, now):
                     pair.append(s)
@@ -557,9 +553,8 @@
             if pair:
                 return pair
         # The floor: with nothing better left, an ejected or tried server is better than none.
-        ejected = sum(1 for s in self.servers.values() if s.ejected_until > now)
-        if tried or ejected > EJECT_SHARE * len(self.servers):
-            for s in self.shuffled(self.subset):
+        if tried or self.members.ejected() > EJECT_SHARE * len(self.servers):
+            for s in self.offer(self.subset, few, whole=True):
                 if self.safety.may_send(call, s, now) and not self.cold_full(s, now):
                     return [s]
         return []
@@ -591,7 +586,9 @@
         pair = self.pick(call, now)
         if not pair:
             return False
-        self.start(call, min(pair, key=lambda s: self.load(s, now)), now)
+        first, second = pair[0], pair[-1]
+        less = second is not first and self.load(second, now) < self.load(first, now)
+        self.start(call, second if less else first, now)
         return True
 
     def start(self, call: Call, server: Server, now: int) -> None:
@@ -603,7 +600,7 @@
         if not number:
             self.budget.first(now)
             call.version = self.version
-        if self.warmth(server, now) < 1:
+        if server.started and self.warmth(server, now) < 1:
             server.tokens -= 1
         call.attempts.append(attempt)
         call.out += 1
@@ -657,8 +654,11 @@
         if result == Result.FULL or crowded:
             server.cap = max(1.0, min(server.cap, float(len(server.out))))
         else:
+            before = server.ejected_until
             for _ in range(1 + (result == Result.CONNECT_FAILED)):  # none at all weighs double: it is down
                 self.health.note(server, failed, now)
+            if server.ejected_until != before:
+                self.members.judged(server, now)
         if result == Result.OK:
             self.answers, server.answered = self.answers + 1, now
             server.cap += 0.5 / server.cap
--- /dev/null
+++ b/oakbridge/policy/membership.py
@@ -0,0 +1,355 @@
+"""The servers that a copy may send to, arranged so that no decision's cost grows with their number.
+
+Members are in the subset or spare; each side keeps those that may be drawn apart from those that are ejected, and those
+of the own zone apart from the rest.  A draw is weighted by size; what is drawn for one request is drawn without
+replacement.  A side of few members is looked at in full; of a large one a bounded number is drawn, and then a bounded
+part of a ring is looked through, which goes on where it stopped: so in turn every member has its look.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING, Any
+
+from oakbridge.policy import vocabulary as api
+
+if TYPE_CHECKING:
+    from oakbridge.policy.balancer import Attempt
+
+SECOND = 1_000_000
+SCORE_LOW, EJECT_FOR = -2.0, SECOND
+SMALL = 32  # a side of so many members is looked at in full
+TRIES, LOOKS = 24, 64  # of a larger one: draws, then members of the ring, for one request
+
+
+class Server:
+    """What this copy knows of one server: what discovery said, own calls out, and how they ended."""
+
+    __slots__ = ("id", "zone", "cell", "size", "started", "out", "score", "scored_at", "ejected_until",
+                 "eject_for", "last_sent", "tokens", "tokens_at", "cap", "answered", "slowness",
+                 "paced", "queued", "reported", "gone", "joined", "place", "side", "pool", "slot")  # fmt: skip
+
+    def __init__(self, entry: api.ListedServer, size: float = 1.0) -> None:
+        self.id = entry.id
+        self.out: dict[tuple[int, int], Attempt] = {}  # unanswered calls, oldest first
+        self.last_sent = self.answered = self.reported = 0
+        self.queued = 0.0  # requests that wait there, by its last report
+        self.started, self.place = -1, ""
+        self.joined = 0  # the version since which it has been listed without a break
+        self.side: Side | None = None  # the subset or the spare ones, while it is listed
+        self.pool: Pool | None = None
+        self.slot = 0
+        self.relist(entry, size)
+
+    def relist(self, entry: api.ListedServer, size: float = 1.0) -> None:
+        """Take changed facts over; a server that has restarted starts with a clean record."""
+        self.zone, self.cell, self.size, self.gone = entry.zone, entry.cell, size, False
+        if entry.started != self.started or entry.place != self.place:
+            self.started, self.place = entry.started, entry.place
+            self.score, self.scored_at = SCORE_LOW, 0
+            self.ejected_until, self.eject_for = 0, EJECT_FOR
+            self.tokens, self.tokens_at = 0.0, -1
+            self.slowness, self.paced = 1.0, 0  # see Balancer.slowness
+            self.cap = math.inf  # own calls out that it takes, once it has turned one away
+
+    def same_group(self, where: tuple[str, int], group: str) -> bool:
+        """Whether it drops repeats of a keyed request that was sent to that zone and cell."""
+        return group == "all" or (self.zone == where[0] if group == "zone" else self.cell == where[1])
+
+
+class Pool:
+    """Servers to draw from: one by size in constant time, by rejection inside groups of like size."""
+
+    __slots__ = ("groups", "sums", "count", "total")
+
+    def __init__(self) -> None:
+        self.groups: dict[int, list[Server]] = {}  # by the power of two that bounds their sizes
+        self.sums: dict[int, float] = {}
+        self.count, self.total = 0, 0.0
+
+    def add(self, s: Server) -> None:
+        """Put a server in; it must be in none."""
+        rank = _rank(s.size)
+        group = self.groups.setdefault(rank, [])
+        s.pool, s.slot = self, len(group)
+        group.append(s)
+        self.sums[rank] = self.sums.get(rank, 0.0) + s.size
+        self.count += 1
+        self.total += s.size
+
+    def remove(self, s: Server) -> None:
+        """Take a server out, with the size that it came with."""
+        rank = _rank(s.size)
+        group = self.groups[rank]
+        last = group.pop()
+        if last is not s:
+            group[s.slot], last.slot = last, s.slot
+        s.pool = None
+        self.count -= 1
+        if not group:  # sums are set right here, so that rounding never piles up
+            del self.groups[rank], self.sums[rank]
+            self.total = sum(self.sums.values())
+        else:
+            self.sums[rank] -= s.size
+            self.total -= s.size
+
+    def draw(self, rng: random.Random) -> Server:
+        """One by size; the pool must not be empty."""
+        groups = self.groups
+        if len(groups) == 1:
+            ((rank, group),) = groups.items()
+        else:
+            left = rng.random() * sum(self.sums.values())
+            for rank, group in groups.items():  # noqa: B007
+                left -= self.sums[rank]
+                if left < 0:
+                    break
+        top = 2.0**rank
+        while True:
+            s = group[int(rng.random() * len(group))]
+            if s.size == top or rng.random() * top < s.size:
+                return s
+
+    def at(self, place: int) -> Server:
+        """The server at a place of the pool's order."""
+        for group in self.groups.values():
+            if place < len(group):
+                return group[place]
+            place -= len(group)
+        raise IndexError(place)
+
+
+def _rank(size: float) -> int:
+    mantissa, exponent = math.frexp(size)
+    return exponent - (mantissa == 0.5)
+
+
+class Side:
+    """The subset, or the spare servers: pools of (own zone, the rest), each with one of the ejected."""
+
+    __slots__ = ("near", "far", "near_out", "far_out", "cursor")
+
+    def __init__(self) -> None:
+        self.near, self.far, self.near_out, self.far_out = Pool(), Pool(), Pool(), Pool()
+        self.cursor = 0
+
+    def __len__(self) -> int:
+        """All members, the ejected among them."""
+        return self.near.count + self.far.count + self.near_out.count + self.far_out.count
+
+    def __iter__(self) -> Iterator[Server]:
+        """All members."""
+        return iter(self.members(True))
+
+    def pools(self, whole: bool) -> tuple[Pool, ...]:
+        """Those to draw from; ``whole``: with the ejected."""
+        return (self.near, self.far, self.near_out, self.far_out) if whole else (self.near, self.far)
+
+    def members(self, whole: bool) -> list[Server]:
+        """All of them in one list."""
+        return [s for pool in self.pools(whole) for group in pool.groups.values() for s in group]
+
+    def ejected(self) -> int:
+        """How many are ejected."""
+        return self.near_out.count + self.far_out.count
+
+    def any(self, rng: random.Random, near: bool = False) -> Server:
+        """One of all members, each as likely as another; ``near``: of those in the own zone."""
+        pools = (self.near, self.near_out) if near else self.pools(True)
+        place = rng.randrange(sum(pool.count for pool in pools))
+        for pool in pools:
+            if place < pool.count:
+                return pool.at(place)
+            place -= pool.count
+        raise IndexError(place)
+
+    def draw(self, rng: random.Random, whole: bool) -> Server:
+        """One by size."""
+        if not whole and not self.far.count:
+            return self.near.draw(rng)
+        pools = [pool for pool in self.pools(whole) if pool.count]
+        if len(pools) == 1:
+            return pools[0].draw(rng)
+        left = rng.random() * sum(pool.total for pool in pools)
+        for pool in pools:
+            left -= pool.total
+            if left < 0:
+                break
+        return pool.draw(rng)
+
+    def ring(self, whole: bool) -> list[Server]:
+        """The next so many members of a walk that goes on with each call and comes to all in turn."""
+        groups = [group for pool in self.pools(whole) for group in pool.groups.values()]
+        count = sum(map(len, groups))
+        start = self.cursor % max(1, count)
+        self.cursor = start + LOOKS
+        found, most = list[Server](), min(LOOKS, count)
+        for group in (*groups, *groups):  # twice: from where it stopped to the end, and on from the beginning
+            if start < len(group):
+                found += group[start : start + most - len(found)]
+                start = 0
+                if len(found) == most:
+                    break
+            else:
+                start -= len(group)
+        return found
+
+    def offer(self, rng: random.Random, home: bool, whole: bool = False) -> Iterator[Server]:
+        """Members in a random order, larger ones likelier first, so that each server gets its part.
+
+        Where crossing zones has a price (``home``), one of the own zone comes first, so that any pair has one.
+        """
+        head, behind = self._head(rng, whole) if home else (None, 0.0)
+        if head is not None:
+            yield head
+        count = sum(pool.count for pool in self.pools(whole))
+        if count <= SMALL:
+            rest = [s for s in self.members(whole) if s is not head]
+            yield from shuffled(rest, rng, lambda s: behind if s.pool in (self.near, self.near_out) else 0.0)
+            return
+        seen = {head}
+        at, left = 0.0, self.far.total
+        for _ in range(TRIES):
+            # Those of the own zone come behind the first of them: until then only others are drawn.
+            far = at < behind and left > 0 and (at := at + rng.expovariate(left)) < behind
+            s = self.far.draw(rng) if far else self.draw(rng, whole)
+            if s not in seen:
+                seen.add(s)
+                yield s
+        for s in shuffled(self.ring(whole), rng):
+            if s not in seen:
+                yield s
+
+    def _head(self, rng: random.Random, whole: bool) -> tuple[Server | None, float]:
+        """The first of the own zone (None if it is ejected), and how far behind the start its zone begins."""
+        pools = [pool for pool in (self.near, self.near_out) if pool.count]
+        if not pools:
+            return None, 0.0
+        total = sum(pool.total for pool in pools)
+        pool = pools[-1] if rng.random() * total >= pools[0].total else pools[0]
+        return (pool.draw(rng) if whole or pool is self.near else None), rng.expovariate(total)
+
+
+def shuffled(
+    members: list[Server], rng: random.Random, behind: Callable[[Server], float] = lambda _: 0.0
+) -> list[Server]:
+    """All of them in random order, larger ones likelier first; a race in which some begin ``behind``."""
+    return sorted(members, key=lambda s: rng.expovariate(s.size) + behind(s))
+
+
+class Membership:
+    """All listed servers by side, zone, cell, and the version of the list since which they are on it."""
+
+    def __init__(self, home: str) -> None:
+        """``home``: the own zone, where crossing zones has a price; else empty."""
+        self.home = home
+        self.servers: dict[str, Server] = {}
+        self.subset, self.spare = Side(), Side()
+        self.by_zone: dict[str, dict[str, Server]] = {}
+        self.by_cell: dict[int, dict[str, Server]] = {}
+        self.by_version: dict[int, dict[str, Server]] = {}  # oldest first: versions only grow
+        self.benched: list[tuple[int, int, Server]] = []  # the ejected, by when they come back
+        self.benchings = 0
+
+    def add(self, s: Server, now: int) -> None:
+        """List a server, as a spare one."""
+        self.servers[s.id] = s
+        self._index(s)
+        self._enter(s, self.spare, now)
+
+    def remove(self, s: Server) -> None:
+        """List a server no more."""
+        if self.servers.pop(s.id, None) is not None:
+            self._leave(s)
+            self._index(s, (s.zone, s.cell, s.joined), gone=True)
+            s.side = None
+
+    def relist(self, s: Server, entry: api.ListedServer, size: float, joined: int, now: int) -> None:
+        """Take changed facts over; ``joined``: the version of the list since which it is on it."""
+        if s.id not in self.servers or (side := s.side) is None:
+            s.relist(entry, size)
+            s.joined = joined
+            return
+        same = (s.zone, s.cell, s.size, s.joined) == (entry.zone, entry.cell, size, joined)
+        if same and s.started == entry.started and s.place == entry.place:
+            s.gone = False
+            return
+        self._leave(s)
+        before = s.zone, s.cell, s.joined
+        s.relist(entry, size)
+        s.joined = joined
+        self._index(s, before)
+        self._enter(s, side, now)
+
+    def move(self, s: Server, side: Side, now: int) -> None:
+        """Put a server on the other side."""
+        self._leave(s)
+        self._enter(s, side, now)
+
+    def judged(self, s: Server, now: int) -> None:
+        """Its ejection may have begun or ended."""
+        if s.side is not None and (s.ejected_until > now) != (s.pool in (s.side.near_out, s.side.far_out)):
+            self.move(s, s.side, now)
+
+    def come_back(self, now: int) -> None:
+        """Have those back whose ejection is over."""
+        while self.benched and self.benched[0][0] <= now:
+            s = heapq.heappop(self.benched)[2]
+            if s.side is not None and s.ejected_until > now:
+                self._bench(s)  # it was ejected anew meanwhile
+            self.judged(s, now)
+
+    def ejected(self) -> int:
+        """How many are ejected."""
+        return self.subset.ejected() + self.spare.ejected()
+
+    def oldest(self) -> float:
+        """The version since which some server is listed without a break; infinity without servers."""
+        return next(iter(self.by_version), math.inf)
+
+    def group(self, where: tuple[str, int], group: str) -> dict[str, Server]:
+        """The servers that drop repeats of what was sent to that zone and cell."""
+        found = self.by_zone.get(where[0]) if group == "zone" else self.by_cell.get(where[1])
+        return found or {}
+
+    def since(self, version: int) -> list[Server]:
+        """Those that are listed since that version or longer; so many that a longer list means "many"."""
+        found = list[Server]()
+        for joined, servers in self.by_version.items():
+            if joined > version or len(found) > LOOKS:
+                break
+            found += servers.values()
+        return found
+
+    # ---- parts
+
+    def _enter(self, s: Server, side: Side, now: int) -> None:
+        near, out = not self.home or s.zone == self.home, s.ejected_until > now
+        s.side = side
+        ((side.near_out if near else side.far_out) if out else (side.near if near else side.far)).add(s)
+        if out:
+            self._bench(s)
+
+    def _bench(self, s: Server) -> None:
+        self.benchings += 1
+        heapq.heappush(self.benched, (s.ejected_until, self.benchings, s))
+
+    @staticmethod
+    def _leave(s: Server) -> None:
+        assert s.pool is not None
+        s.pool.remove(s)
+
+    def _index(self, s: Server, before: tuple[str, int, int] | None = None, gone: bool = False) -> None:
+        """Have it under its zone, cell and version, and no more under those that it had before."""
+        indexes: tuple[dict[Any, dict[str, Server]], ...] = self.by_zone, self.by_cell, self.by_version
+        now = s.zone, s.cell, s.joined
+        for place, index in enumerate(indexes):
+            if before is not None and (gone or before[place] != now[place]):
+                del index[before[place]][s.id]
+                if not index[before[place]]:
+                    del index[before[place]]
+            if not gone and (before is None or before[place] != now[place]):
+                index.setdefault(now[place], {})[s.id] = s
--- a/oakbridge/policy/view.py
+++ b/oakbridge/policy/view.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import heapq
 from dataclasses import dataclass
 
-from oakbridge.policy.balancer import Balancer, Server
+from oakbridge.policy.balancer import Balancer
+from oakbridge.policy.membership import Server
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,8 +58,8 @@
 def view(b: Balancer, now: int, most: int = 200) -> BalancerView:
     """The state now, with the rows of at most so many servers: those with most to tell first."""
     subset = {s.id for s in b.subset}
-    shown = sorted(
-        b.known.values(), key=lambda s: (s.ejected_until <= now, -len(s.out), s.id not in subset, s.id)
+    shown = heapq.nsmallest(
+        most, b.known.values(), key=lambda s: (s.ejected_until <= now, -len(s.out), s.id not in subset, s.id)
     )
     return BalancerView(
         list_version=b.version,
@@ -71,5 +73,5 @@
         retries_left=round(b.budget.left(now), 2),
         attempts_per_s=round(b.budget.per_second(now), 1),
         fail_rate=round(b.failed_lately, 4),
-        rows=sorted((_row(b, s, subset, now) for s in shown[:most]), key=lambda r: r.name),
+        rows=sorted((_row(b, s, subset, now) for s in shown), key=lambda r: r.name),
     )
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -195,6 +195,7 @@
     d.serve(20)
     for s in d.b.servers.values():
         s.ejected_until = d.now + 10_000_000
+        d.b.members.judged(s, d.now)
     assert [a for a in d.ask() if isinstance(a, api.Send)]
 
 
--- /dev/null
+++ b/tests/policy/test_membership.py
@@ -0,0 +1,274 @@
+"""Choice among many servers: pools against a model, the old rule as reference, and cost counted in lines run."""
+
+import math
+import random
+import sys
+from collections import Counter
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from oakbridge import Balancer
+from oakbridge.policy import balancer as module
+from oakbridge.policy import vocabulary as api
+from oakbridge.policy.membership import LOOKS, Membership, Server
+from oakbridge.policy.vocabulary import ListedServer, ServerList
+
+SECOND = 1_000_000
+SIZES = (0.001, 0.5, 1.0, 1.0, 3.0, 1000.0)
+
+
+class Pools(RuleBasedStateMachine):
+    """Servers that come, go, change and are ejected; the model is a plain dict."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.m, self.now, self.version = Membership("a"), 0, 1
+        self.model: dict[str, Server] = {}
+        self.draw = random.Random(1)
+
+    @rule(
+        name=st.integers(0, 5), zone=st.sampled_from("abc"), size=st.sampled_from(SIZES), moved=st.booleans()
+    )
+    def listed(self, name, zone, size, moved):
+        entry = ListedServer(str(name), zone=zone, cell=name % 7, place="x" if moved else "")
+        if (s := self.model.get(str(name))) is not None:
+            self.m.relist(s, entry, size, self.version if s.place != entry.place else s.joined, self.now)
+        else:
+            s = self.model[str(name)] = Server(entry, size)
+            s.joined = self.version
+            self.m.add(s, self.now)
+        self.version += 1
+
+    @precondition(lambda self: self.model)
+    @rule(data=st.data(), what=st.sampled_from(["remove", "widen", "narrow", "eject", "eject", "forgive"]))
+    def change(self, data, what):
+        s = self.model[data.draw(st.sampled_from(sorted(self.model)))]
+        if what == "remove":
+            self.m.remove(self.model.pop(s.id))
+        elif what in ("widen", "narrow"):
+            self.m.move(s, self.m.subset if what == "widen" else self.m.spare, self.now)
+        else:
+            s.ejected_until = self.now + self.draw.randrange(1, 30) if what == "eject" else 0
+            self.m.judged(s, self.now)
+
+    @rule(by=st.integers(0, 20))
+    def wait(self, by):
+        self.now += by
+        self.m.come_back(self.now)
+
+    @invariant()
+    def all_is_where_it_belongs(self):
+        sides = (self.m.subset, self.m.spare)
+        assert sorted(s.id for side in sides for s in side) == sorted(self.model) == sorted(self.m.servers)
+        assert self.m.ejected() == sum(s.ejected_until > self.now for s in self.model.values())
+        for side in sides:
+            for pool, near, out in zip(side.pools(True), (1, 0, 1, 0), (0, 0, 1, 1), strict=True):
+                members = [s for group in pool.groups.values() for s in group]
+                assert all((s.zone == "a") == near and (s.ejected_until > self.now) == out for s in members)
+                assert all(pool.groups[rank][s.slot] is s for rank, g in pool.groups.items() for s in g)
+                assert pool.count == len(members)
+                assert math.isclose(pool.total, sum(s.size for s in members), abs_tol=1e-9, rel_tol=1e-9)
+                if members:
+                    assert pool.draw(self.draw) in members
+        assert self.m.oldest() == min((s.joined for s in self.model.values()), default=math.inf)
+        for index, key in ((self.m.by_zone, "zone"), (self.m.by_cell, "cell"), (self.m.by_version, "joined")):
+            told = {k: sorted(v) for k, v in index.items()}
+            real: dict = {}
+            for s in self.model.values():
+                real.setdefault(getattr(s, key), []).append(s.id)
+            assert told == {k: sorted(v) for k, v in real.items()}
+
+
+Pools.TestCase.settings = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
+TestPools = Pools.TestCase
+
+
+def reference(b: Balancer, call, now) -> list[Server]:
+    """The rule before: the whole subset in a weighted random order, then the spare servers."""
+    tried = {a.server.id for a in call.attempts}
+    even = math.ceil((b.admission.out + 1) / max(1, len(b.subset)))
+    for members, most in ((b.subset, even), (b.subset, math.inf), (b.spare, math.inf)):
+        order = sorted(members, key=lambda s: b.random.expovariate(s.size))
+        near = next((i for i, s in enumerate(order) if s.zone == b.home), 0) if b.home else 0
+        order.insert(0, order.pop(near)) if near else None
+        pair = []
+        for s in order:
+            if (
+                s.id not in tried
+                and len(s.out) < most
+                and b.safety.may_send(call, s, now)
+                and b.usable(s, call, now)
+            ):
+                pair.append(s)
+                if len(pair) == 2:
+                    break
+        if pair:
+            return pair
+    return []
+
+
+def world(count: int, seed: int, **more) -> tuple[Balancer, module.Call]:
+    """A balancer whose members differ in size, zone, calls out and health; and a call."""
+    klass = api.RequestClass("look", 2 * SECOND, 6 * SECOND, repeat=more.pop("repeat", "safe"))
+    b = Balancer(api.Settings(classes=(klass,), instances=2, **more), seed)
+    draw = random.Random(seed)
+    entries = [
+        ListedServer(f"s{i}", zone="ab"[i % 2], cell=i // 2, size=draw.choice((0.2, 1.0, 1.0, 4.0)))
+        for i in range(count)
+    ]  # fmt: skip
+    b.handle(SECOND, ServerList(entries))
+    for s in b.servers.values():
+        for k in range(draw.choice((0, 0, 1, 2))):
+            s.out[-k - 1, 0] = module.Attempt(s, SECOND, 0)
+            b.admission.out += 1
+        if draw.random() < 0.2:
+            s.ejected_until = 9 * SECOND
+            b.members.judged(s, SECOND)
+    return b, module.Call(api.Request(1, "look", 3 * SECOND), klass, SECOND)
+
+
+ZONES = {"zone": "a", "zones": ("a", "b"), "prices": api.Prices(cross_zone=1.0)}
+
+
+@pytest.mark.parametrize("more", [{}, {"size_source": api.NOMINAL}, ZONES | {"size_source": api.NOMINAL}])
+@pytest.mark.parametrize(("count", "seed"), [(2, 1), (5, 2), (12, 3), (60, 4), (300, 5)])
+def test_choices_have_the_distribution_of_the_old_rule(count, seed, more):
+    """Each server's part of the pairs, and of the first places, by a chi-square test of two samples (at 1e-4)."""
+    b, call = world(count, seed, **more)
+    rounds = 4000
+    seen: list[Counter] = []
+    for pick in (lambda: b.pick(call, SECOND), lambda: reference(b, call, SECOND)):
+        counts: Counter = Counter()
+        for _ in range(rounds):
+            pair = pick()
+            counts.update({s.id: 1 for s in pair})
+            counts["", len(pair), tuple(s.zone for s in pair) if b.home else ""] += 1
+        seen.append(counts)
+    statistic = freedom = 0.0
+    for key in seen[0].keys() | seen[1].keys():
+        x, y = seen[0][key], seen[1][key]
+        if x + y >= 10:
+            statistic += (x - y) ** 2 / (x + y)
+            freedom += 1
+    # The normal approximation of chi-square's upper quantile (Wilson and Hilferty), 3.72 for 1e-4.
+    bound = freedom * (1 - 2 / (9 * freedom) + 3.72 * math.sqrt(2 / (9 * freedom))) ** 3
+    assert statistic < bound, (statistic, freedom)
+
+
+class Lines:
+    """Counts the lines that the policy runs: a cost that is the same on every machine."""
+
+    def __enter__(self) -> "Lines":
+        self.count = 0
+        self._before = sys.gettrace()
+        sys.settrace(self._call)
+        return self
+
+    def __exit__(self, *_) -> None:
+        sys.settrace(self._before)
+
+    def _call(self, frame, event, _):
+        return self._line if "policy" in frame.f_code.co_filename else None
+
+    def _line(self, frame, event, _):
+        self.count += event == "line"
+        return self._line
+
+
+def serve(b: Balancer, now: int, number: int) -> int:
+    """One request and its good end, if it was sent; how often it was."""
+    sent = [a for a in b.handle(now, api.Request(number, "look", 3 * SECOND)) if isinstance(a, api.Send)]
+    for a in sent:
+        b.handle(now + 900, api.AttemptEnded(number, 0, a.server, api.Result.OK, 900, finished=True))
+    return len(sent)
+
+
+def eject_all_but(b: Balancer, now: int, few: int) -> None:
+    for s in list(b.servers.values())[few:]:
+        s.ejected_until = now + 60 * SECOND
+        b.members.judged(s, now)
+
+
+def cost(count: int, prepare=lambda b, now: None, entries=None, **more) -> tuple[float, int]:
+    """Lines a request, and how many of a hundred were sent."""
+    b = Balancer(
+        api.Settings(classes=(api.RequestClass("look", 2 * SECOND, 6 * SECOND, repeat="safe"),), **more), 5
+    )
+    b.handle(1, ServerList(entries or [ListedServer(f"s{i}", zone="b") for i in range(count)]))
+    now = 2 * SECOND
+    for i in range(20):
+        serve(b, now := now + 1000, i)
+    prepare(b, now)
+    with Lines() as lines:
+        sent = sum(serve(b, now := now + 1000, 100 + i) for i in range(100))
+    return lines.count / 100, sent
+
+
+WEIGHTS = [ListedServer(f"s{i}", size=10.0 ** random.Random(i).uniform(-3, 3)) for i in range(10_000)]
+
+
+@pytest.mark.parametrize(
+    ("prepare", "more", "most"),
+    [
+        (lambda b, now: None, {"instances": 4}, 1.5),
+        (lambda b, now: None, {"instances": 4, "size_source": api.NOMINAL}, 2.5),
+        (lambda b, now: None, ZONES | {"instances": 2000}, 3),
+        (lambda b, now: eject_all_but(b, now, 3), {"instances": 4}, 3),
+    ],
+    ids=["plain", "weights", "all in another zone", "all but three ejected"],
+)  # fmt: skip
+def test_a_decision_costs_the_same_with_ten_thousand_servers(prepare, more, most):
+    small, _ = cost(10, **more)
+    large, sent = cost(10_000, prepare, WEIGHTS if "size_source" in more else None, **more)
+    assert sent == 100 and large < most * small, (small, large)
+
+
+def test_all_cold_at_once_costs_a_bounded_look_and_pushes_nobody_over():
+    entries = [ListedServer(f"s{i}", started=SECOND) for i in range(10_000)]
+    lines, sent = cost(10_000, entries=entries, warm_up=60 * SECOND, cold_from=0.1)
+    assert lines < 40 * (24 + LOOKS) * 3 and sent <= 100
+
+
+def test_a_delta_costs_by_its_size_and_a_long_list_by_its_length():
+    def lines(count: int, entries, whole: bool) -> int:
+        b = Balancer(
+            api.Settings(classes=(api.RequestClass("x", 10, 20),), instances=100, one_version=True), 3
+        )
+        b.handle(1, ServerList([ListedServer(f"s{i}") for i in range(count)]))
+        with Lines() as traced:
+            b.handle(2, ServerList(entries, whole=whole))
+        return traced.count
+
+    delta = [ListedServer("new"), ListedServer("s1", state=api.GONE)]
+    assert lines(10_000, delta, False) < 1.2 * lines(100, delta, False)
+    half = [lines(n, [ListedServer(f"s{i}") for i in range(n // 2, n + n // 2)], True) for n in (200, 2000)]
+    assert half[1] < 12 * half[0]
+
+
+def test_a_keyed_call_finds_the_one_other_server_of_its_group():
+    """Ten thousand servers in groups of two: a repeat may go to one alone, also where that is a spare one."""
+    klass = api.RequestClass(
+        "look", 2 * SECOND, 6 * SECOND, repeat="keyed", group="cell", repeat_window=60 * SECOND
+    )
+    b = Balancer(api.Settings(classes=(klass,), instances=500), 5)
+    b.handle(1, ServerList([ListedServer(f"s{i}", cell=i // 2) for i in range(10_000)]))
+    found = 0
+    for number in range(20):
+        now = SECOND * (2 + number)
+        (send,) = [
+            a for a in b.handle(now, api.Request(number, "look", 5 * SECOND)) if isinstance(a, api.Send)
+        ]
+        b.handle(now + 1000, api.AttemptEnded(number, 0, send.server, api.Result.RESET, 1000))
+        for _ in range(3):
+            again = []
+            while b.alarms and not again and b.alarms[0][0] < now + SECOND:
+                timer = api.TimerFired(b.timer)
+                again = [a for a in b.handle(b.alarms[0][0], timer) if isinstance(a, api.Send)]
+            found += sum(int(a.server[1:]) // 2 == int(send.server[1:]) // 2 for a in again)
+            assert all(a.server != send.server for a in again)
+            if again:
+                break
+    assert found >= 4  # the retry budget allows a fifth and a floor
