--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -508,7 +508,7 @@
         self.members.move(spare.any(self.random, near), self.subset, now)
 
     def offer(self, side: Side, few: list[Server] | None, whole: bool = False) -> Iterable[Server]:
-        """Members of a side in random order; ``few``: all that a call may go to, where that is a small part."""
+        """Members of a side in random order; ``few``: all that a call may go to, if few."""
         if few is None:
             return side.offer(self.random, bool(self.home), whole)
         return shuffled([s for s in few if s.side is side], self.random)
--- a/oakbridge/policy/membership.py
+++ b/oakbridge/policy/membership.py
@@ -1,9 +1,10 @@
 """The servers that a copy may send to, arranged so that no decision's cost grows with their number.
 
-Members are in the subset or spare; each side keeps those that may be drawn apart from those that are ejected, and those
-of the own zone apart from the rest.  A draw is weighted by size; what is drawn for one request is drawn without
-replacement.  A side of few members is looked at in full; of a large one a bounded number is drawn, and then a bounded
-part of a ring is looked through, which goes on where it stopped: so in turn every member has its look.
+Members are in the subset or spare; each side keeps those that may be drawn apart from those that are
+ejected, and those of the own zone apart from the rest.  A draw is weighted by size; what is drawn for one
+request is drawn without replacement.  A side of few members is looked at in full; of a large one a bounded
+number is drawn, and then a bounded part of a ring is looked through, which goes on where it stopped: so in
+turn every member has its look.  Settings, events and actions are in ``vocabulary.py``.
 """
 
 from __future__ import annotations
@@ -30,7 +31,8 @@
 
     __slots__ = ("id", "zone", "cell", "size", "started", "out", "score", "scored_at", "ejected_until",
                  "eject_for", "last_sent", "tokens", "tokens_at", "cap", "answered", "slowness",
-                 "paced", "queued", "reported", "gone", "joined", "place", "side", "pool", "slot")  # fmt: skip
+                 "paced", "queued", "reported", "gone", "joined", "place", "side", "pool",
+                 "slot")  # fmt: skip
 
     def __init__(self, entry: api.ListedServer, size: float = 1.0) -> None:
         self.id = entry.id
@@ -200,7 +202,7 @@
     def offer(self, rng: random.Random, home: bool, whole: bool = False) -> Iterator[Server]:
         """Members in a random order, larger ones likelier first, so that each server gets its part.
 
-        Where crossing zones has a price (``home``), one of the own zone comes first, so that any pair has one.
+        Where crossing zones has a price (``home``), one of the own zone comes first: any pair has one.
         """
         head, behind = self._head(rng, whole) if home else (None, 0.0)
         if head is not None:
