--- a/oakbridge/policy/membership.py
+++ b/oakbridge/policy/membership.py
@@ -293,16 +293,20 @@
 
     def judged(self, s: Server, now: int) -> None:
         """Its ejection may have begun or ended."""
-        if s.side is not None and (s.ejected_until > now) != (s.pool in (s.side.near_out, s.side.far_out)):
+        if s.side is None:
+            return
+        ejected = s.ejected_until > now
+        if ejected != (s.pool in (s.side.near_out, s.side.far_out)):
             self.move(s, s.side, now)
+        elif ejected:
+            self._bench(s)  # for another time than before
 
     def come_back(self, now: int) -> None:
         """Have those back whose ejection is over."""
         while self.benched and self.benched[0][0] <= now:
             s = heapq.heappop(self.benched)[2]
-            if s.side is not None and s.ejected_until > now:
-                self._bench(s)  # it was ejected anew meanwhile
-            self.judged(s, now)
+            if s.ejected_until <= now:  # else it was ejected anew, and has a later entry
+                self.judged(s, now)
 
     def ejected(self) -> int:
         """How many are ejected."""
