Keep a lease by its holder too, and halt a rollout that no step could go out of

Change: two tools that ask at once choose the same token, and each may win some agents; the winner's renewals kept the loser's lease alive there for ever, and its release gave it away. The holder now counts as well. A rollout whose unknown canary had the only place stood still after its gate; it halts and says so. A step refused because another one was under way counted as 'did not', though a doubled message could still begin it; it is now sent again.

--- a/oakbridge/agent/instance.py
+++ b/oakbridge/agent/instance.py
@@ -129,7 +129,11 @@
 
 
 class Busy(ValueError):
-    """A step that can't begin; the text says why.  Nothing has changed."""
+    """A step that can't begin, and never will; the text says why.  Nothing has changed."""
+
+
+class UnderWay(Busy):
+    """It can't begin while another one is under way, and might after that: no answer that is for good."""
 
 
 class Instance:
@@ -165,7 +169,7 @@
         if self.outcome(step.id) is not None or (r.step is not None and r.step.id == step.id):
             return []
         if r.step is not None:
-            raise Busy(f"step {r.step.id} is under way ({r.state.value})")
+            raise UnderWay(f"step {r.step.id} is under way ({r.state.value})")
         if step.target == r.current:
             return self._end(Verdict.TOOK, "it ran it already", step)
         if step.base != r.current.number:
--- a/oakbridge/agent/lease.py
+++ b/oakbridge/agent/lease.py
@@ -64,24 +64,27 @@
         self.promise = Promise(token, holder, wall, released=False)
         return self._grant(now, length, changed=True)
 
-    def renew(self, now: int, token: int, length: int) -> Granted | Refused:
-        """Ask for more time.  A lease that has run out may be renewed as long as nobody else has asked."""
-        if token != self.promise.token or self.promise.released:
+    def renew(self, now: int, token: int, holder: str, length: int) -> Granted | Refused:
+        """Ask for more time.  A lease that has run out may be renewed as long as nobody else has asked.
+
+        The holder counts as well: two that ask at once choose the same token, and each may have won some agents.
+        """
+        if not self._holds(token, holder):
             return self._refuse(now, f"token {token} has no lease here")
         return self._grant(now, length, changed=False)
 
-    def release(self, now: int, token: int) -> bool:
+    def release(self, now: int, token: int, holder: str) -> bool:
         """Give the lease back; returns whether the promise changed.  The token stays promised."""
-        if token != self.promise.token or self.promise.released:
+        if not self._holds(token, holder):
             return False
         p = self.promise
         self.promise = Promise(p.token, p.holder, p.since, released=True)
         self._until = now
         return True
 
-    def check(self, now: int, token: int) -> Refused | None:
-        """Whether a step with this token may begin: it is the one promised, and its lease is alive."""
-        if token != self.promise.token:
+    def check(self, now: int, token: int, holder: str) -> Refused | None:
+        """Whether a step with this token may begin: it is the one promised to its sender, and its lease is alive."""
+        if (token, holder) != (self.promise.token, self.promise.holder):
             return self._refuse(now, f"token {token} is not the one promised")
         if not self.alive(now):
             return self._refuse(now, f"the lease of token {token} has ended")
@@ -91,6 +94,9 @@
         """Whether somebody has the lease now."""
         return not self.promise.released and now < self._until
 
+    def _holds(self, token: int, holder: str) -> bool:
+        return (token, holder) == (self.promise.token, self.promise.holder) and not self.promise.released
+
     def _grant(self, now: int, length: int, changed: bool) -> Granted:
         length = max(0, min(length, LONGEST))
         self._until = now + length
--- a/oakbridge/agent/runner.py
+++ b/oakbridge/agent/runner.py
@@ -89,10 +89,10 @@
 
     # ---- the machine's side
 
-    def order(self, step: m.Step, files: dict[str, str], verdict: str) -> None:
+    def order(self, step: m.Step, holder: str, files: dict[str, str], verdict: str) -> None:
         """Begin a step whose files have been checked.  Raises :class:`m.Busy`."""
         self._verdict = verdict
-        self.changer.order(now_us(), step, files, lambda: self.agent.lease_problem(step.token))
+        self.changer.order(now_us(), step, files, lambda: self.agent.lease_problem(step.token, holder))
 
     def _carry(self, actions: list[m.Action]) -> None:
         if actions:
@@ -266,9 +266,9 @@
         managed.begin()
         return {name: managed}
 
-    def lease_problem(self, token: int) -> str:
+    def lease_problem(self, token: int, holder: str) -> str:
         """Why a step with this token may not go on; "" if it may."""
-        refused = self.lease.check(now_us(), token)
+        refused = self.lease.check(now_us(), token, holder)
         return "" if refused is None else refused.reason
 
     # ---- answers
@@ -289,10 +289,10 @@
         if isinstance(request, wire.Acquire):
             return self._acquire(request, who.name)
         if isinstance(request, wire.Release):
-            if self.lease.release(now_us(), request.token):
+            if self.lease.release(now_us(), request.token, who.name):
                 self.store.keep_promise(self.lease.promise)
             return 200, {"token": self.lease.promise.token}
-        return await self._step(request)
+        return await self._step(request, who.name)
 
     def describe(self) -> wire.Raw:
         """All that the agent knows."""
@@ -317,7 +317,7 @@
     def _acquire(self, request: wire.Acquire, holder: str) -> tuple[int, wire.Raw]:
         now = now_us()
         if request.renew:
-            got = self.lease.renew(now, request.token, request.length)
+            got = self.lease.renew(now, request.token, holder, request.length)
         else:
             got = self.lease.acquire(now, request.token, holder, request.length, time.time())
         if isinstance(got, Granted):
@@ -333,13 +333,13 @@
             "ends_in_s": got.ends_in / 1e6,
         }  # fmt: skip
 
-    async def _step(self, order: wire.StepOrder) -> tuple[int, wire.Raw]:
+    async def _step(self, order: wire.StepOrder, holder: str) -> tuple[int, wire.Raw]:
         managed = self.managed.get(order.instance)
         if managed is None:
             return 404, {"error": f"instance: there is no {order.instance} here"}
         if (ended := managed.machine.outcome(order.id)) is not None:
             return 200, {"step": ended.step, "verdict": ended.verdict.value, "reason": ended.reason}
-        if (refused := self.lease.check(now_us(), order.token)) is not None:
+        if (refused := self.lease.check(now_us(), order.token, holder)) is not None:
             return 409, self._refusal(refused)
         try:
             check_files(order.files)
@@ -353,9 +353,9 @@
             verdict = await self._check(order.files)
         try:
             # The lease may have ended meanwhile: the machine asks once more, just before the flip.
-            managed.order(step, order.files, verdict)
+            managed.order(step, holder, order.files, verdict)
         except m.Busy as e:
-            return 409, {"error": str(e)}
+            return 503 if isinstance(e, m.UnderWay) else 409, {"error": str(e)}
         ended = managed.machine.outcome(order.id)
         if ended is not None:
             return 200, {"step": ended.step, "verdict": ended.verdict.value, "reason": ended.reason}
--- a/oakbridge/rollout/machine.py
+++ b/oakbridge/rollout/machine.py
@@ -178,11 +178,7 @@
         self._rows[name] = Row(Fate.UNKNOWN, reason, since)
         if self.record.stage is not Stage.RUNNING:
             return self._kept(self._go_on())
-        if self._missing() >= self.record.unavailable and self._unsent():
-            return self._halt(
-                f"{self._missing()} instances are not heard of, and {self.record.unavailable} may be missing"
-            )
-        return self._kept(self._go_on())
+        return self._halt_if_stuck() or self._kept(self._go_on())
 
     def judged(self, judgement: Judgement) -> list[Action]:
         """The gate has spoken."""
@@ -193,7 +189,7 @@
         if self.record.wave + 1 == len(self.record.waves):
             return self._kept(self._finish(Stage.DONE))
         self._set(stage=Stage.RUNNING, wave=self.record.wave + 1)
-        return self._kept(self._go_on())
+        return self._halt_if_stuck() or self._kept(self._go_on())
 
     def stopped(self, reason: str) -> list[Action]:
         """The lease is lost, or somebody wants it to stop: nothing more is sent, and nothing is undone."""
@@ -244,6 +240,13 @@
         now = self.record.waves[self.record.wave]
         return [t for t in now if self._rows[t.name].fate is Fate.WAITS]
 
+    def _halt_if_stuck(self) -> list[Action]:
+        """Those that are not heard of have all the places there are: no step could go out any more."""
+        missing, most = self._missing(), self.record.unavailable
+        if missing < most or not self._unsent():
+            return []
+        return self._halt(f"{missing} instances are not heard of, and {most} may be missing")
+
     def _more(self) -> list[Action]:
         """As many steps as may be under way; then the gate."""
         sent: list[Action] = []
--- a/tests/agent/test_lease.py
+++ b/tests/agent/test_lease.py
@@ -28,34 +28,42 @@
 def test_a_lease_that_nobody_renews_ends_and_its_token_stays_spent():
     lease = Lease(Promise(), 0)
     lease.acquire(0, 5, "kari", 10 * S, 0)
-    assert lease.check(9 * S, 5) is None
-    assert "has ended" in lease.check(10 * S, 5).reason
+    assert lease.check(9 * S, 5, "kari") is None
+    assert "has ended" in lease.check(10 * S, 5, "kari").reason
     assert "not above 5" in lease.acquire(11 * S, 5, "ola", S, 0).reason
     assert isinstance(lease.acquire(11 * S, 6, "ola", S, 0), Granted)
-    assert "not the one promised" in lease.check(11 * S, 5).reason
+    assert "not the one promised" in lease.check(11 * S, 5, "kari").reason
 
 
 def test_an_old_token_never_comes_back():
     lease = Lease(Promise(), 0)
     lease.acquire(0, 5, "kari", 10 * S, 0)
-    lease.release(1, 5)
+    lease.release(1, 5, "kari")
     lease.acquire(2, 6, "ola", 10 * S, 0)
-    assert isinstance(lease.renew(3, 5, S), Refused)
-    assert lease.release(3, 5) is False
+    assert isinstance(lease.renew(3, 5, "kari", S), Refused)
+    assert lease.release(3, 5, "kari") is False
     assert lease.alive(3)
 
 
+def test_one_that_lost_is_not_kept_alive_by_the_winner_who_chose_the_same_token():
+    lease = Lease(Promise(), 0)
+    lease.acquire(0, 5, "ola", 10 * S, 0)
+    assert isinstance(lease.renew(5 * S, 5, "kari", 60 * S), Refused)
+    assert lease.release(5 * S, 5, "kari") is False and lease.check(5 * S, 5, "kari") is not None
+    assert lease.alive(9 * S) and not lease.alive(10 * S)
+
+
 def test_its_holder_may_ask_for_a_higher_token_before_it_ends():
     lease = Lease(Promise(), 0)
     lease.acquire(0, 5, "kari", 10 * S, 0)
     assert isinstance(lease.acquire(1, 6, "kari", 10 * S, 0), Granted)
-    assert lease.check(2, 5) is not None and lease.check(2, 6) is None
+    assert lease.check(2, 5, "kari") is not None and lease.check(2, 6, "kari") is None
 
 
 def test_after_a_start_an_unreleased_lease_counts_as_alive_for_a_while():
     lease = Lease(Promise(5, "kari", 0, released=False), 100 * S, grace=30 * S)
     assert isinstance(lease.acquire(110 * S, 6, "ola", S, 0), Refused)
-    assert isinstance(lease.renew(111 * S, 5, 40 * S), Granted)
+    assert isinstance(lease.renew(111 * S, 5, "kari", 40 * S), Granted)
     assert isinstance(lease.acquire(152 * S, 6, "ola", S, 0), Granted)
     assert isinstance(Lease(Promise(5, "kari", 0, released=True), 0).acquire(0, 6, "ola", S, 0), Granted)
 
@@ -85,7 +93,7 @@
         self.granted: dict[tuple[str, int], set[int]] = {}  # operator and token: the agents that said yes
         self.asked_at: dict[tuple[str, int], int] = {}
         self.messages: list[tuple[str, int, int]] = []  # under way to an agent
-        self.steps: list[tuple[int, int]] = []  # agent, token of a step under way
+        self.steps: list[tuple[int, int, str]] = []  # agent, token and sender of a step under way
         self.done: list[list[int]] = [[] for _ in range(AGENTS)]  # tokens of the steps that an agent took
 
     @rule(who=OPERATORS)
@@ -117,15 +125,15 @@
         """An operator that believes that it has a majority sends a step, which may come much later."""
         holders = [key for key, agents in self.granted.items() if len(agents) >= majority(AGENTS)]
         if holders:
-            _, token = data.draw(st.sampled_from(sorted(holders)))
-            self.steps.append((data.draw(st.integers(0, AGENTS - 1)), token))
+            who, token = data.draw(st.sampled_from(sorted(holders)))
+            self.steps.append((data.draw(st.integers(0, AGENTS - 1)), token, who))
 
     @precondition(lambda self: self.steps)
     @rule(data=st.data(), twice=st.booleans())
     def step_arrives(self, data, twice):
         place = data.draw(st.integers(0, len(self.steps) - 1))
-        agent, token = self.steps[place] if twice else self.steps.pop(place)
-        if self.leases[agent].check(self.now, token) is None:
+        agent, token, who = self.steps[place] if twice else self.steps.pop(place)
+        if self.leases[agent].check(self.now, token, who) is None:
             self.done[agent].append(token)
 
     @rule(seconds=st.integers(1, 15))
@@ -141,7 +149,7 @@
     def release(self, who):
         if who in self.tokens:
             for agent, lease in enumerate(self.leases):
-                if lease.release(self.now, self.tokens[who]):
+                if lease.release(self.now, self.tokens[who], who):
                     self.disk[agent] = lease.promise
             self.granted.pop((who, self.tokens[who]), None)
 
--- a/tests/rollout/test_machine.py
+++ b/tests/rollout/test_machine.py
@@ -104,6 +104,14 @@
     assert fates(r) == "a:took it b:took it"
 
 
+def test_a_canary_that_is_not_heard_of_does_not_leave_the_next_wave_waiting_for_its_place():
+    r = rollout("a", "bc", unavailable=1)
+    r.begin()
+    r.silent("h/a", "no answer", 7.0)
+    r.judged(PASS)
+    assert r.record.stage is Stage.HALTED and "1 may be missing" in r.record.reason
+
+
 def test_a_resume_takes_along_those_that_were_silent():
     """In a rollout that was done they get their step again; in one that was halted they are only asked."""
     r = rollout("ab", unavailable=2)
