Serve with several workers on one port, spread evenly, under one supervisor

Need: a node used one core of a machine, whatever it had.

A supervisor holds the listening sockets and hands each connection to the worker with the fewest; workers restart alone after a crash and one after the other on SIGUSR1; one control socket answers for all.

--- a/oakbridge/agent/runner.py
+++ b/oakbridge/agent/runner.py
@@ -17,13 +17,13 @@
 from oakbridge import __version__
 from oakbridge.agent import instance as m
 from oakbridge.agent import process
-from oakbridge.agent import supervisor as sup
 from oakbridge.agent.changer import Changer
 from oakbridge.agent.host import Host, Running
 from oakbridge.agent.lease import Granted, Lease, Refused
 from oakbridge.agent.store import Store, StoreError, check_files, check_name, digest_of
 from oakbridge.control import protocol
 from oakbridge.fleet import wire
+from oakbridge.process import supervisor as sup
 
 log = logging.getLogger(__name__)
 
--- a/oakbridge/cli/serve.py
+++ b/oakbridge/cli/serve.py
@@ -7,6 +7,8 @@
 import logging
 import os
 import signal
+import socket
+import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
@@ -20,7 +22,7 @@
 from oakbridge.cli.logs import JSON, log_option, start_logs
 from oakbridge.config.load import BadFile, Loaded, inline_entries, load
 from oakbridge.config.schema import resolved
-from oakbridge.control.place import default_socket
+from oakbridge.control.place import default_socket, worker_socket
 from oakbridge.control.server import ControlServer
 from oakbridge.control.state import NodeControl
 from oakbridge.node.clock import Clock
@@ -28,6 +30,7 @@
 from oakbridge.node.node import Node
 from oakbridge.node.run import serve
 from oakbridge.sources.files import FileOptions, FileSource, InlineSource
+from oakbridge.workers.share import BadShare, share
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,9 +41,15 @@
     name: str | None
     listen: tuple[str, ...]
     control: Path | None
+    workers: int | None = None
+    worker: int = 0  # which of them this process is; 0: none
+    log_format: str = "text"
 
     def load(self) -> Loaded:
-        """The configuration with all that goes before it.  Raises BadFile or ConfigError."""
+        """The configuration with all that goes before it, a worker's with its part of it.
+
+        Raises BadFile or ConfigError.
+        """
         loaded = load(self.path)
         config, control = loaded.config, loaded.control
         if self.name is not None:
@@ -49,7 +58,27 @@
         if self.listen:
             first, *others = map(parse_address, self.listen)
             config = replace(config, listen=first, also_listen=tuple(others))
-        return replace(loaded, config=config, control=self.control or control)
+        control = self.control or control
+        workers = self.workers or loaded.file.node.workers
+        try:
+            parts = (
+                [share(config, worker, workers) for worker in range(1, workers + 1)] if workers > 1 else []
+            )
+        except BadShare as e:
+            raise ConfigError(f"{self.path}: {e}") from None
+        if self.worker:
+            config = parts[self.worker - 1]
+            control = worker_socket(control, self.worker) if control is not None else None
+        return replace(loaded, config=config, control=control)
+
+    def command(self, worker: int, workers: int, channel: int) -> list[str]:
+        """How a worker's process is started."""
+        words = [sys.executable, "-m", "oakbridge.cli", "serve", "--config", str(self.path)]
+        words += ["--name", self.name] if self.name is not None else []
+        words += [word for address in self.listen for word in ("--listen", address)]
+        words += ["--control", str(self.control)] if self.control is not None else []
+        words += ["--log-format", self.log_format, "--workers", str(workers)]
+        return [*words, "--worker", str(worker), "--channel", str(channel)]
 
 
 FIRST_LOOK_S = 10.0  # in which a server file must have been read at the start
@@ -71,19 +100,19 @@
     )
 
 
-def build(loaded: Loaded, loop: asyncio.AbstractEventLoop) -> Node:
-    """The node that a configuration tells of, with its source of servers."""
+def build(loaded: Loaded, loop: asyncio.AbstractEventLoop, door: bool = True) -> Node:
+    """The node that a configuration tells of, with its source of servers; a worker's is without a door."""
     options, entries = file_options(loaded), inline_entries(loaded.file)
 
     def source(clock: Clock) -> Source:
         return FileSource(options, clock.now) if options is not None else InlineSource(entries)
 
-    return Node(loaded.config, loop, None if loaded.config.discovery else source)
+    return Node(loaded.config, loop, None if loaded.config.discovery else source, door)
 
 
-async def started(loaded: Loaded, loop: asyncio.AbstractEventLoop) -> Node:
+async def started(loaded: Loaded, loop: asyncio.AbstractEventLoop, door: bool = True) -> Node:
     """The node, once its server file has been read.  Raises ConfigError where there is no list to start from."""
-    node = build(loaded, loop)
+    node = build(loaded, loop, door)
     if isinstance(node.source, FileSource):
         node.source.start()
         try:
@@ -100,6 +129,31 @@
     return node
 
 
+@asynccontextmanager
+async def beside(loaded: Loaded, node: Node, channel: socket.socket | None) -> AsyncIterator[None]:
+    """What lives as long as the node: its control socket, and a worker's channel to its supervisor."""
+    async with control(loaded, node):
+        if channel is None:
+            yield
+            return
+        from oakbridge.workers.inside import Inside
+
+        with Inside(channel).attached(node):
+            yield
+
+
+async def supervise(given: Given, loaded: Loaded, workers: int) -> int:
+    """Run so many workers; returns the exit code."""
+    from oakbridge.workers.door import Door
+
+    config = loaded.config
+    addresses = (config.listen, *config.also_listen)
+    door = Door(
+        config.name, addresses, workers, lambda w, channel: given.command(w, workers, channel), loaded.control
+    )
+    return await door.run()
+
+
 @asynccontextmanager
 async def control(loaded: Loaded, node: Node) -> AsyncIterator[None]:
     """The node's control socket, for as long as it runs."""
@@ -129,11 +183,25 @@
 @click.option(
     "--control", "socket_path", type=click.Path(path_type=Path), help="The control socket's path, likewise."
 )
+@click.option(
+    "--workers",
+    type=click.IntRange(1, 64),
+    help="Processes on the port, in place of the file's node.workers.",
+)
+@click.option("--worker", default=0, hidden=True)
+@click.option("--channel", type=int, hidden=True)
 @log_option
 def command(
-    path: Path | None, name: str | None, listen: tuple[str, ...], socket_path: Path | None, log_format: str
+    path: Path | None,
+    name: str | None,
+    listen: tuple[str, ...],
+    socket_path: Path | None,
+    workers: int | None,
+    worker: int,
+    channel: int | None,
+    log_format: str,
 ) -> None:
-    """Run one node until SIGTERM; SIGHUP reads its configuration anew.
+    """Run one node until SIGTERM; SIGHUP reads its configuration anew, SIGUSR1 restarts workers one by one.
 
     Without --config the platform's environment tells all (NODE_CONFIG and its kin).
     """
@@ -141,7 +209,7 @@
         if not os.environ.get("NODE_CONFIG"):
             raise BadInput("serve: expected --config FILE (docs/getting-started.md has one to begin with)")
         raise click.exceptions.Exit(serve_platform())
-    given = Given(path, name, listen, socket_path)
+    given = Given(path, name, listen, socket_path, workers, worker, log_format)
     try:
         loaded = given.load()
     except (BadFile, ConfigError) as e:
@@ -153,12 +221,16 @@
     else:
         start_log(level)
     logging.getLogger("watchfiles").setLevel(logging.WARNING)
+    many = workers or loaded.file.node.workers
     try:
+        if many > 1 and not worker:
+            raise click.exceptions.Exit(asyncio.run(supervise(given, loaded, many)))
+        to_supervisor = None if channel is None else socket.socket(fileno=channel)
         asyncio.run(
             serve(
-                lambda loop: started(loaded, loop),
+                lambda loop: started(loaded, loop, door=to_supervisor is None),
                 lambda node: reload(given, node),
-                lambda node: control(loaded, node),
+                lambda node: beside(loaded, node, to_supervisor),
             )
         )
     except ConfigError as e:
--- a/oakbridge/cli/status.py
+++ b/oakbridge/cli/status.py
@@ -62,6 +62,21 @@
     return lines
 
 
+def _workers(rows: list[dict[str, Any]]) -> Table:
+    """One line for each worker of a node that has several."""
+    table = Table(box=box.SIMPLE_HEAD)
+    for column in ("worker", "pid", "state", "callers", "out", "limit", "waiting", "served"):
+        table.add_column(column, justify="left" if column == "state" else "right")
+    for row in rows:
+        if "problem" in row:
+            table.add_row(str(row["worker"]), "", Text(row["problem"].split(":")[0], style="red"))
+            continue
+        state = "leaving" if row["leaving"] else "ready" if row["ready"] else "not ready"
+        figures = (row["callers"], row["out"], f"{row['limit']:g}", row["waiting"], row["answers"]["served"])
+        table.add_row(str(row["worker"]), str(row["pid"]), state, *map(str, figures))
+    return table
+
+
 def picture(told: dict[str, Any]) -> Group:
     """A node's state as a table."""
     head = Table.grid(padding=(0, 2))
@@ -89,4 +104,5 @@
             str(row["since_version"]),
         )  # fmt: skip
     hidden = told["servers"] - len(told["rows"])
-    return Group(head, table, *([Text(f"{hidden} more servers (--rows)")] if hidden > 0 else []))
+    workers = [_workers(told["workers"])] if "workers" in told else []
+    return Group(head, *workers, table, *([Text(f"{hidden} more servers (--rows)")] if hidden > 0 else []))
--- a/oakbridge/config/schema.py
+++ b/oakbridge/config/schema.py
@@ -73,6 +73,10 @@
         1, ge=1, le=100_000,
         description="How many nodes share these servers. Each keeps a subset of them; all together cover all.",
     )  # fmt: skip
+    workers: int = Field(
+        1, ge=1, le=64,
+        description="Processes on its port. They divide its limits, and count as so many instances.",
+    )  # fmt: skip
     zone: str = Field("", max_length=200, description="Its zone; servers of the same one are preferred.")
     seed: int | None = Field(None, ge=0, description="For random choices; a new one at each start if absent.")
 
--- a/oakbridge/control/place.py
+++ b/oakbridge/control/place.py
@@ -16,3 +16,8 @@
 def default_socket(name: str) -> Path:
     """The socket of a node by its name."""
     return runtime_folder() / f"{re.sub(r'[^A-Za-z0-9._-]', '_', name)}.sock"
+
+
+def worker_socket(control: Path, worker: int) -> Path:
+    """The socket of one of a node's workers, beside the node's own."""
+    return control.with_name(f"{control.stem}.{worker}{control.suffix}")
--- a/oakbridge/control/server.py
+++ b/oakbridge/control/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import inspect
 import logging
 import os
 import socket
@@ -19,7 +20,7 @@
 MOST = 16  # connections at once
 PATIENCE_S = 30.0  # how long a connection may say nothing, or leave an answer unread
 
-Handler = Callable[[protocol.Request], Any]
+Handler = Callable[[protocol.Request], Any]  # an awaitable is awaited
 
 
 class SocketTaken(OSError):
@@ -91,7 +92,7 @@
                 if not data:
                     return
                 for line in lines.feed(data):
-                    writer.write(self._answer(line))
+                    writer.write(await self._answer(line))
                 async with asyncio.timeout(PATIENCE_S):
                     await writer.drain()
         except protocol.ProtocolError as e:
@@ -102,10 +103,11 @@
             self._open.discard(writer)
             writer.close()
 
-    def _answer(self, line: bytes) -> bytes:
+    async def _answer(self, line: bytes) -> bytes:
         """Guards the node: a fault in here is told to whoever asked, and ends nothing."""
         try:
-            return protocol.answer(self._handle(protocol.read_request(line)))
+            result = self._handle(protocol.read_request(line))
+            return protocol.answer(await result if inspect.isawaitable(result) else result)
         except (protocol.Refusal, protocol.ProtocolError, ValueError) as e:
             return protocol.refusal(str(e))
         except Exception as e:
--- a/oakbridge/node/downstream.py
+++ b/oakbridge/node/downstream.py
@@ -8,7 +8,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Sequence
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 import httptools
 
@@ -152,10 +152,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the connection, unless it has had to make room already."""
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+        self.transport = cast(asyncio.Transport, transport)  # other loops have classes of their own
         if self.ending:
-            transport.abort()
+            self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell that the caller is gone, if it was still owed an answer."""
@@ -414,6 +413,7 @@
         addresses: Sequence[Address],
         most: int,
     ) -> None:
+        """``addresses``: where to listen; none if connections are handed in (:meth:`admit`)."""
         self.loop, self.clock, self.taker, self.most = loop, clock, taker, most
         self.leaving = self.clearing = False
         self.last_answer: int | None = None  # when all that was taken has to be answered, once that is known
@@ -424,7 +424,7 @@
         self.buffer = memoryview(bytearray(READ))
         self._again: Timer | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._accepting = False
+        self._accepting = self._changing = False
         self._ended: asyncio.Future[None] | None = None
         self._socks: list[socket.socket] = []
         try:
@@ -434,7 +434,7 @@
             self._close_door()
             raise
         self.addresses: list[Address] = [sock.getsockname() for sock in self._socks]
-        self.address = self.addresses[0]
+        self.changed: Callable[[], None] | None = None  # called when a connection comes or goes
 
     def _listen(self, address: Address) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -451,6 +451,11 @@
             sock.close()
         self._socks = []
 
+    @property
+    def address(self) -> Address:
+        """Where it listens first."""
+        return self.addresses[0]
+
     def callers(self) -> int:
         """How many connections callers have."""
         return len(self._callers)
@@ -487,15 +492,21 @@
             except OSError as e:  # no descriptor is left: accepting goes on when a caller has left
                 log.error("accepting stops: %s", e)
                 return self._stop() if self._callers else None
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            full = len(self._callers) >= self.most and not self._make_room()
-            caller = Caller(self, full and not self.idle.since and not self.awaited.since)
-            self._callers.add(caller)
-            self.awaited.add(caller)
-            task = self.loop.create_task(self._attach(caller, sock))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self.admit(sock)
+
+    def admit(self, sock: socket.socket) -> None:
+        """Serve on a connection, accepted here or by whoever holds the door."""
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        full = len(self._callers) >= self.most and not self._make_room()
+        caller = Caller(self, full and not self.idle.since and not self.awaited.since)
+        self._callers.add(caller)
+        self.awaited.add(caller)
+        task = self.loop.create_task(self._attach(caller, sock))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        if self.changed is not None:
+            self.changed()
 
     async def _attach(self, caller: Caller, sock: socket.socket) -> None:
         try:
@@ -539,6 +550,8 @@
         self._callers.discard(caller)
         self.awaited.remove(caller)
         self.idle.remove(caller)
+        if self.changed is not None:
+            self.changed()
 
     def lost(self, caller: Caller) -> None:
         """A connection has ended."""
@@ -580,7 +593,7 @@
 
     async def leave(self, longest: int) -> None:
         """Accept through the changeover, serve who is there for a while, and return when all is answered."""
-        self.leaving = True
+        self.leaving = self._changing = True
         self._ended = self.loop.create_future()
         now, longest = self.clock.now(), min(longest, LONGEST)
         self.last_answer = now + longest + LAST_ANSWER
@@ -599,6 +612,7 @@
             self._accept(sock)
         self._stop()
         self._close_door()
+        self._changing = False
         self._check_end()
 
     def _clear(self) -> None:
@@ -610,7 +624,7 @@
         self._check_end()
 
     def _check_end(self) -> None:
-        if self._ended is not None and not self._socks and not self._callers:
+        if self._ended is not None and not self._changing and not self._callers:
             self._give_up()
 
     def _give_up(self) -> None:
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -66,8 +66,9 @@
         config: Config,
         loop: asyncio.AbstractEventLoop,
         source: Callable[[Clock], Source] | None = None,
+        door: bool = True,
     ) -> None:
-        """``source``: where the list comes from, if it is not discovery."""
+        """``source``: where the list comes from, if it is not discovery; ``door``: whether it listens itself."""
         settings = config.settings
         self.settings, self.clock, self.config = settings, Clock(loop), config
         self.balancer = Balancer(settings, config.seed)
@@ -90,7 +91,7 @@
             self.source = Discovery(config.discovery, not settings.must_ask)
         else:
             raise ConfigError("discovery: missing, and there is no other source of servers")
-        addresses = (config.listen, *config.also_listen)
+        addresses = (config.listen, *config.also_listen) if door else ()
         self.server = Server(loop, self.clock, self, addresses, config.sockets - RESERVE - upstream)
         self.source.tell(self)
         if source is None:
--- a/oakbridge/node/run.py
+++ b/oakbridge/node/run.py
@@ -34,7 +34,8 @@
         async with beside(node):
             node.start()
             name = node.config.name
-            log.info("%s listens on %s", name, ", ".join(f"{h}:{p}" for h, p in node.server.addresses))
+            where = ", ".join(f"{h}:{p}" for h, p in node.server.addresses)
+            log.info("%s listens on %s", name, where or "what its supervisor hands it")
             reloading = loop.create_task(_reloading(node, hangup, reload))
             await stop.wait()
             log.info("%s ends", name)
--- /dev/null
+++ b/oakbridge/workers/inside.py
@@ -0,0 +1,84 @@
+"""A worker's end: takes connections that the supervisor hands over, and tells how many it has."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from oakbridge.node.node import Node
+from oakbridge.workers import wire
+
+log = logging.getLogger(__name__)
+
+GATHER_S = 0.002  # accounts of connections that come and go together are one
+
+
+class Inside:
+    """The channel to the supervisor.  If that one dies, the worker ends in order: nobody hands it anything."""
+
+    def __init__(self, channel: socket.socket) -> None:
+        self._channel, self._seen = channel, 0
+        channel.setblocking(False)
+        self._loop = asyncio.get_running_loop()
+        self._telling: asyncio.TimerHandle | None = None
+        self._node: Node | None = None
+
+    @contextmanager
+    def attached(self, node: Node) -> Iterator[None]:
+        """Hand what comes to this node, for a while."""
+        self._node = node
+        node.server.changed = self._changed
+        self._loop.add_reader(self._channel, self._readable)
+        self._loop.call_soon(self._tell, wire.Ready(node.server.most))
+        try:
+            yield
+        finally:
+            self._loop.remove_reader(self._channel)
+            self._channel.close()
+
+    def _readable(self) -> None:
+        try:
+            packet, descriptors, *_ = socket.recv_fds(self._channel, wire.MOST, 1)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            packet, descriptors = b"", []
+        if not packet:
+            log.warning("the supervisor is gone: this worker ends")
+            self._loop.remove_reader(self._channel)
+            os.kill(os.getpid(), signal.SIGTERM)
+        elif packet == wire.CONNECTION and len(descriptors) == 1:
+            self._seen += 1
+            assert self._node is not None
+            self._node.server.admit(socket.socket(fileno=descriptors[0]))
+            self._changed()
+        elif packet == wire.LEAVE:
+            os.kill(os.getpid(), signal.SIGTERM)
+        elif packet == wire.RELOAD:
+            os.kill(os.getpid(), signal.SIGHUP)
+        else:
+            log.error("not understood from the supervisor: %r", packet[:80])
+            for descriptor in descriptors:
+                os.close(descriptor)
+
+    def _changed(self) -> None:
+        if self._telling is None:
+            self._telling = self._loop.call_later(GATHER_S, self._account)
+
+    def _account(self) -> None:
+        self._telling = None
+        if self._node is not None:
+            self._tell(wire.Account(self._node.server.callers(), self._seen))
+
+    def _tell(self, message: wire.Ready | wire.Account) -> None:
+        try:
+            self._channel.send(wire.encode(message))
+        except BlockingIOError:  # the supervisor is behind: what is newer will be told then
+            self._telling = self._loop.call_later(10 * GATHER_S, self._account)
+        except OSError:
+            pass  # it is gone, which the reader hears of
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from oakbridge.agent.supervisor import (
+from oakbridge.process.supervisor import (
     FIRST_WAIT,
     LONGEST_WAIT,
     READY_WITHIN,
