--- a/oakbridge/node/upstream.py
+++ b/oakbridge/node/upstream.py
@@ -10,6 +10,7 @@
 import errno
 import logging
 import socket
+from bisect import bisect_right
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -86,7 +87,7 @@
         self.pool, self.target = pool, target
         self.attempt: Attempt | None = None
         self.keep = True  # may be used again
-        self.connected = self.closed = False
+        self.connected = self.closed = self.waits = False  # waits: for the socket to take more
         self.idle_since = 0
         self.unsent = memoryview(b"")
         self.timer: Timer | None = None
@@ -112,13 +113,23 @@
         elif code == errno.EINPROGRESS:
             if self.pool.connect_timeout:
                 self._limit(self.pool.connect_timeout)
-            self.pool.loop.add_writer(self.sock, self._guarded, self._connect_done)
+            self._wait_to_write(self._connect_done)
         else:
             # Told in the loop's next round: the caller still holds the attempt as being started.
             self.pool.loop.call_soon(self._lost)
 
+    def _wait_to_write(self, what: Callable[[], None]) -> None:
+        self.waits = True
+        self.pool.loop.add_writer(self.sock, self._guarded, what)
+
+    def _stop_waiting(self) -> None:
+        """Asked for only where it waits: nearly every request goes out in one write."""
+        if self.waits:
+            self.waits = False
+            self.pool.loop.remove_writer(self.sock)
+
     def _connect_done(self) -> None:
-        self.pool.loop.remove_writer(self.sock)
+        self._stop_waiting()
         self._stop_timer()
         if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self._lost()
@@ -164,19 +175,16 @@
 
     def _write(self) -> None:
         """Write what the socket takes; ``unsent`` is empty once the last byte is in its hands."""
-        before = len(self.unsent)
         try:
             while self.unsent:
                 self.unsent = self.unsent[self.sock.send(self.unsent) :]
         except BlockingIOError:
-            self.pool.loop.add_writer(self.sock, self._guarded, self._write)
-            return
+            return self._wait_to_write(self._write)
         except OSError:
             # In the next round, as in open(); what arrived before the break is no answer to half a request.
             self.pool.loop.call_soon(self._lost)
             return
-        if before:
-            self.pool.loop.remove_writer(self.sock)
+        self._stop_waiting()
 
     def _guarded(self, what: Callable[[], None]) -> None:
         """Guards the loop and the node: a fault in one connection ends that connection alone."""
@@ -293,7 +301,7 @@
         self.closed = True
         self._stop_timer()
         self.pool.loop.remove_reader(self.sock)
-        self.pool.loop.remove_writer(self.sock)
+        self._stop_waiting()
         self.sock.close()
         self.pool.forget(self)
 
@@ -317,6 +325,10 @@
     return Result.ERROR
 
 
+def _idle_since(connection: Connection) -> int:
+    return connection.idle_since
+
+
 class Pool:
     """The connections to all servers, within a bound."""
 
@@ -387,7 +399,6 @@
         if connection is None and self.count >= self.most:
             connection = self._rested(target, 0)
         if connection is not None:
-            target.idle.remove(connection)
             target.busy.add(connection)
             return connection.use(attempt)
         if self.count >= self.most and not self._make_room():
@@ -396,16 +407,18 @@
         self._open(target, attempt)
 
     def _rested(self, target: Target, least: int) -> Connection | None:
-        """The connection that was used last of those that have rested for long enough and are still good.
+        """Take the connection that was used last of those that have rested for long enough and are still good.
 
         Guards against a second copy of an answer, or noise behind it, that is read as the next one's answer.
         """
-        now = self.clock.now()
-        for connection in reversed(target.idle.copy()):
-            if connection.idle_since + least <= now:
-                if not connection.stale():
-                    return connection
-                connection.close()
+        idle = target.idle
+        place = bisect_right(idle, self.clock.now() - least, key=_idle_since)
+        while place > 0:
+            place -= 1
+            connection = idle.pop(place)
+            if not connection.stale():
+                return connection
+            connection.close()
         return None
 
     def _open(self, target: Target, attempt: Attempt) -> None:
