Open doors by one function, and leave a frozen worker frozen while others answer

Need: a second reading found the opening of listening sockets written twice, and a worker that the test froze and killed in the same moment, which showed nothing of a frozen one.

Change: node.downstream.listen_on is used by both; the test has 200 more answers come while one worker is frozen.

--- a/oakbridge/node/downstream.py
+++ b/oakbridge/node/downstream.py
@@ -402,6 +402,19 @@
             self.timer.cancel()
 
 
+def listen_on(address: Address) -> socket.socket:
+    """A door that is open.  Raises OSError with the address in its text."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+    except OSError as e:
+        sock.close()
+        raise OSError(e.errno, f"{address[0]}:{address[1]}: {e.strerror}") from None
+    return sock
+
+
 class Server:
     """Accepts callers within a bound, and hands their requests on."""
 
@@ -429,23 +442,13 @@
         self._socks: list[socket.socket] = []
         try:
             for address in addresses:
-                self._listen(address)
+                self._socks.append(listen_on(address))
         except OSError:
             self._close_door()
             raise
         self.addresses: list[Address] = [sock.getsockname() for sock in self._socks]
         self.changed: Callable[[], None] | None = None  # called when a connection comes or goes
 
-    def _listen(self, address: Address) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self._socks.append(sock)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind(address)
-        except OSError as e:
-            raise OSError(e.errno, f"{address[0]}:{address[1]}: {e.strerror}") from None
-        sock.listen(BACKLOG)
-
     def _close_door(self) -> None:
         for sock in self._socks:
             sock.close()
--- a/oakbridge/workers/door.py
+++ b/oakbridge/workers/door.py
@@ -22,6 +22,7 @@
 from oakbridge.control.client import ControlClient, Unreachable
 from oakbridge.control.place import worker_socket
 from oakbridge.control.server import ControlServer
+from oakbridge.node.downstream import ACCEPTED, listen_on
 from oakbridge.node.listing import Address
 from oakbridge.process import supervisor as sup
 from oakbridge.workers import crew as c
@@ -31,8 +32,6 @@
 
 log = logging.getLogger(__name__)
 
-BACKLOG = 1024
-ACCEPTED = 16  # connections in one turn of the loop
 CHANGEOVER_S = (
     0.4  # new connections go on coming for a while after a stop; workers wait 0.1 s longer for them
 )
@@ -67,22 +66,12 @@
         self.started = time.time()
         try:
             for address in addresses:
-                self._listen(address)
+                self._socks.append(listen_on(address))
         except OSError:
             self._close_door()
             raise
         self.addresses: list[Address] = [sock.getsockname() for sock in self._socks]
 
-    def _listen(self, address: Address) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self._socks.append(sock)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind(address)
-        except OSError as e:
-            raise OSError(e.errno, f"{address[0]}:{address[1]}: {e.strerror}") from None
-        sock.listen(BACKLOG)
-
     def _close_door(self) -> None:
         self._accept_on(False)
         for sock in self._socks:
--- a/tests/workers/test_processes.py
+++ b/tests/workers/test_processes.py
@@ -143,6 +143,7 @@
             )
         frozen = world.ask()["workers"][0]["pid"]
         os.kill(frozen, signal.SIGSTOP)
+        await enough(world, 200)  # callers that it holds wait; those of the others go on
         os.kill(frozen, signal.SIGKILL)
 
     async def scene():
