Hand on what a dead worker never touched, and restart at once one that had served

Need: with one of four workers killed each second for a minute all were down after half of it: every crash doubled the wait before the next start, also of a worker that had served. Connections on their way to a worker were lost with it.

--- a/oakbridge/process/supervisor.py
+++ b/oakbridge/process/supervisor.py
@@ -56,7 +56,10 @@
 class Supervisor:
     """The machine of one process."""
 
-    def __init__(self) -> None:
+    def __init__(self, served: int = STABLE) -> None:
+        """``served``: after a run of this length the waits begin from the first again; it still counts as a crash."""
+        self.served = served
+        self.short = 0  # runs in a row that ended sooner, or never were ready
         self.state = State.STOPPED
         self.wanted = False
         self.crashes: deque[int] = deque(maxlen=LOOP_CRASHES)
@@ -93,6 +96,7 @@
     def restart(self, now: int) -> list[Action]:
         """Have it run anew, at once: crashes of what it was before are forgiven."""
         self.crashes.clear()
+        self.short = 0
         self.wanted = True
         if self.state in (State.STARTING, State.RUNNING):
             self._again = True
@@ -122,6 +126,8 @@
             return []
         if self.state not in (State.STARTING, State.RUNNING):
             return []
+        ran = self.state is State.RUNNING and now - self.since >= self.served
+        self.short = 1 if ran else min(self.short + 1, LOOP_CRASHES)
         self.crashes.append(now)
         self.total_crashes += 1
         self.last_exit = how
@@ -145,13 +151,13 @@
             return [Kill(), *self._wake(now + STOP_WITHIN)]
         if self.state is State.RUNNING:
             self.crashes.clear()
+            self.short = 0
         return []
 
     def wait(self) -> int:
-        """How long to wait before the next start: twice as long with every crash that counts."""
-        return int(
-            min(LONGEST_WAIT, FIRST_WAIT * 2 ** max(0, len(self.crashes) - 1) * (4 if self.crash_loop else 1))
-        )
+        """How long to wait before the next start: twice as long with every run that was too short."""
+        loop = self.crash_loop and self.short > 1
+        return int(min(LONGEST_WAIT, FIRST_WAIT * 2 ** max(0, self.short - 1) * (4 if loop else 1)))
 
     # ---- parts
 
--- a/oakbridge/workers/crew.py
+++ b/oakbridge/workers/crew.py
@@ -3,7 +3,7 @@
 Each worker has a process machine of its own (``process.supervisor``); this one goes by what they say:
 
 - a worker takes connections from when it is ready until it is told to leave or has ended;
-- one that dies is started again, with growing waits; the others carry on;
+- one that dies is started again, with waits that grow while it dies in its start; the others carry on;
 - a rolling restart takes one at a time: leave, end, start, ready, and only then the next; it stops, and says why,
   where one does not come back, so that a program that can't start costs one worker and not all;
 - to end, all leave at once; what asks for a start after that is not heard.
@@ -16,6 +16,7 @@
 
 from oakbridge.process import supervisor as sup
 
+SERVED = sup.SECOND  # a worker that took connections for so long has not failed to start, whatever ended it
 USAGE_ERROR = 2  # the exit code of a worker that can't use its configuration
 
 
@@ -63,7 +64,7 @@
     """The machine."""
 
     def __init__(self, workers: int) -> None:
-        self.machines = {worker: sup.Supervisor() for worker in range(1, workers + 1)}
+        self.machines = {worker: sup.Supervisor(SERVED) for worker in range(1, workers + 1)}
         self.joined: set[int] = set()
         self.ending = self.over = False
         self._rolling: deque[int] = deque()  # the first one is being restarted
--- a/oakbridge/workers/door.py
+++ b/oakbridge/workers/door.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import time
+from collections import deque
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from pathlib import Path
@@ -28,7 +29,7 @@
 from oakbridge.workers import crew as c
 from oakbridge.workers import wire
 from oakbridge.workers.report import merge
-from oakbridge.workers.spread import Spread
+from oakbridge.workers.spread import Handed, Spread
 
 log = logging.getLogger(__name__)
 
@@ -58,6 +59,8 @@
         self._command = command
         self.crew, self.spread = c.Crew(workers), Spread()
         self._channels: dict[int, socket.socket] = {}
+        self._handed: dict[int, Handed[socket.socket]] = {}  # by worker, in its present life
+        self._back: deque[socket.socket] = deque()  # to be handed to another one, once one has room
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._accepting = False
@@ -96,6 +99,8 @@
             if server is not None:
                 server.close()
             self._close_door()
+            for sock in (*self._back, *(sock for handed in self._handed.values() for sock in handed.left)):
+                sock.close()
             for process in self._processes.values():
                 with suppress(ProcessLookupError):
                     process.kill()
@@ -132,6 +137,12 @@
                 log.warning("%s", action.text)
             elif not self._over.done():
                 self._over.set_result(action.code)
+        self._room()
+
+    def _room(self) -> None:
+        """Hand on what came back from the dead, then accept while somebody has room."""
+        while self._back and self.spread.room():
+            self._hand(self._back.popleft())
         self._accept_on(self.spread.room())
 
     def _do_one(self, worker: int, action: sup.Action) -> None:
@@ -166,12 +177,17 @@
         finally:
             theirs.close()
         self._processes[worker], self._channels[worker] = process, ours
+        handed = self._handed[worker] = Handed()
         self._loop.add_reader(ours, self._hear, worker, ours)
         if self.crew.machines[worker].state is sup.State.STOPPING:  # asked for while it was being started
             self._send(worker, wire.LEAVE)
         code = await process.wait()
         self._processes.pop(worker, None)
+        while self._hear(worker, ours):  # its last accounts
+            pass
         self._hang_up(worker, ours)
+        self._back.extend(handed.left)
+        handed.left.clear()
         how = f"exit code {code}" if code >= 0 else signal.Signals(-code).name
         self._do(self.crew.exited(worker, how, code if code >= 0 else None, now_us()))
 
@@ -183,26 +199,31 @@
 
     # ---- the channels
 
-    def _hear(self, worker: int, channel: socket.socket) -> None:
+    def _hear(self, worker: int, channel: socket.socket) -> bool:
+        """One packet; returns whether there was one."""
         try:
             packet = channel.recv(wire.MOST)
         except BlockingIOError:
-            return
+            return False
         except OSError:
             packet = b""
         if not packet:  # its end is told by its process
             self._loop.remove_reader(channel)
-            return
+            return False
         try:
             message = wire.decode(packet)
         except wire.BadPacket as e:
-            return log.error("worker %d: %s", worker, e)
+            log.error("worker %d: %s", worker, e)
+            return True
         if isinstance(message, wire.Ready):
             log.info("worker %d is ready", worker)
             self._do(self.crew.ready(worker, message.most, now_us()))
         else:
+            for sock in self._handed[worker].told(message.seen):
+                sock.close()
             self.spread.told(worker, message.had, message.seen)
-            self._accept_on(self.spread.room())
+            self._room()
+        return True
 
     def _send(self, worker: int, packet: bytes, *descriptors: int) -> bool:
         channel = self._channels.get(worker)
@@ -241,15 +262,15 @@
                 self._accept_on(False)
                 self._loop.call_later(NO_DESCRIPTORS_S, lambda: self._accept_on(self.spread.room()))
                 return
-            with sock:
-                self._hand(sock)
+            self._hand(sock)
 
     def _hand(self, sock: socket.socket) -> None:
         """To the worker with the fewest; one that takes nothing is passed over until its process has ended."""
         while (worker := self.spread.pick()) is not None:
             if self._send(worker, wire.CONNECTION, sock.fileno()):
-                return
+                return self._handed[worker].left.append(sock)  # kept until the worker has it in its hands
             self.spread.leave(worker)
+        self._back.append(sock)
 
     # ---- the control socket
 
--- a/oakbridge/workers/inside.py
+++ b/oakbridge/workers/inside.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import socket
+from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -27,6 +28,7 @@
         self._loop = asyncio.get_running_loop()
         self._telling: asyncio.TimerHandle | None = None
         self._node: Node | None = None
+        self._handed: deque[socket.socket] = deque()  # not accounted for yet, and not read from
 
     @contextmanager
     def attached(self, node: Node) -> Iterator[None]:
@@ -53,10 +55,8 @@
             self._loop.remove_reader(self._channel)
             os.kill(os.getpid(), signal.SIGTERM)
         elif packet == wire.CONNECTION and len(descriptors) == 1:
-            self._seen += 1
-            assert self._node is not None
-            self._node.server.admit(socket.socket(fileno=descriptors[0]))
-            self._changed()
+            self._handed.append(socket.socket(fileno=descriptors[0]))
+            self._take()
         elif packet == wire.LEAVE:
             os.kill(os.getpid(), signal.SIGTERM)
         elif packet == wire.RELOAD:
@@ -66,6 +66,23 @@
             for descriptor in descriptors:
                 os.close(descriptor)
 
+    def _take(self) -> None:
+        """Account first, then read: what was not accounted for the supervisor hands on if this process dies."""
+        assert self._node is not None
+        account = wire.Account(
+            self._node.server.callers() + len(self._handed), self._seen + len(self._handed)
+        )
+        try:
+            self._channel.send(wire.encode(account))
+        except BlockingIOError:
+            self._loop.call_later(10 * GATHER_S, self._take)
+            return
+        except OSError:
+            pass  # the supervisor is gone, and with it whoever could hand these to another worker
+        while self._handed:
+            self._seen += 1
+            self._node.server.admit(self._handed.popleft())
+
     def _changed(self) -> None:
         if self._telling is None:
             self._telling = self._loop.call_later(GATHER_S, self._account)
--- a/oakbridge/workers/spread.py
+++ b/oakbridge/workers/spread.py
@@ -6,7 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
 
 UNSEEN_MOST = 32  # handed and not yet accounted for: a worker that is frozen gets no more than that
 
@@ -69,3 +73,21 @@
     def counts(self) -> dict[int, int]:
         """Connections of each worker."""
         return {worker: load.now() for worker, load in self._loads.items()}
+
+
+@dataclass(slots=True)
+class Handed(Generic[T]):
+    """What one worker was handed in one life and has not accounted for: it never touched these.
+
+    A worker accounts for a connection before it reads a byte of it, so that what is left when the worker has died can
+    be handed to another one: no part of a request is lost with the dead one, and none was begun twice.
+    """
+
+    left: deque[T] = field(default_factory=deque)
+    seen: int = 0
+
+    def told(self, seen: int) -> list[T]:
+        """An account of so many seen: those that the worker answers for from now on."""
+        count = min(max(0, seen - self.seen), len(self.left))
+        self.seen += count
+        return [self.left.popleft() for _ in range(count)]
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -57,6 +57,20 @@
     assert not s.crash_loop and s.total_crashes == 5
 
 
+def test_a_run_that_served_for_long_enough_starts_the_waits_anew_and_still_counts():
+    """Killed each second for a minute a worker is back within 0.2 s each time; one that dies in its start is not."""
+    for served, waits in ((SECOND, {FIRST_WAIT}), (STABLE, {FIRST_WAIT * n for n in (1, 2, 4, 8, 64)})):
+        s, now, seen = Supervisor(served), 0, set()
+        s.start(now)
+        for _ in range(20):
+            s.ready(now)
+            s.exited(now + SECOND, "signal 9")
+            seen.add(s.wait())
+            now += SECOND + s.wait()
+            s.tick(now)
+        assert seen == waits and s.total_crashes == 20
+
+
 def test_a_stop_is_no_crash():
     s = running()
     assert kinds(s.stop(5)) == [Stop]
--- a/tests/workers/test_pure.py
+++ b/tests/workers/test_pure.py
@@ -13,7 +13,7 @@
 from oakbridge.workers.crew import Crew, Do, Join, Over, Part, Say
 from oakbridge.workers.report import merge
 from oakbridge.workers.share import BadShare, share
-from oakbridge.workers.spread import UNSEEN_MOST, Spread
+from oakbridge.workers.spread import UNSEEN_MOST, Handed, Spread
 
 S = 1_000_000
 
@@ -90,6 +90,22 @@
     assert spread.counts()[1] == 0 and spread.pick() == 1
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_what_a_dead_worker_never_accounted_for_is_left_and_nothing_else(seed):
+    draw, handed, given, seen = random.Random(seed), Handed[int](), 0, 0
+    for _ in range(200):
+        if draw.random() < 0.6:
+            handed.left.append(given)
+            given += 1
+        elif draw.random() < 0.8:
+            upto = draw.randint(
+                0, given + 3
+            )  # also an old account, and one that knows of more than was handed
+            assert handed.told(upto) == list(range(seen, min(max(seen, upto), given)))
+            seen = max(seen, min(upto, given))
+        assert list(handed.left) == list(range(seen, given))
+
+
 @pytest.mark.parametrize("message", [wire.Ready(7), wire.Account(3, 9)])
 def test_packets_come_back_as_they_were(message):
     assert wire.decode(wire.encode(message)) == message
