Serve SIP beside HTTP on one module: sockets, [sip] in the configuration

Need: the proxy's core had no sockets, and the node gave every action of the module to HTTP.

An action's front is the one that owns its request. SIP needs one worker.

--- a/oakbridge/cli/serve.py
+++ b/oakbridge/cli/serve.py
@@ -132,7 +132,7 @@
 @asynccontextmanager
 async def beside(loaded: Loaded, node: Node, channel: socket.socket | None) -> AsyncIterator[None]:
     """What lives as long as the node: its control socket, and a worker's channel to its supervisor."""
-    async with control(loaded, node):
+    async with control(loaded, node), fronts(loaded, node):
         if channel is None:
             yield
             return
@@ -142,6 +142,19 @@
             yield
 
 
+@asynccontextmanager
+async def fronts(loaded: Loaded, node: Node) -> AsyncIterator[None]:
+    """The SIP front, where the file asks for one; what is not used is not imported."""
+    if loaded.file.sip is None:
+        yield
+        return
+    from oakbridge.config.sip import sip_options, sip_settings
+    from oakbridge.sip.front import Front
+
+    async with Front(node, sip_settings(loaded.file), sip_options(loaded.file), loaded.config.seed):
+        yield
+
+
 async def supervise(given: Given, loaded: Loaded, workers: int) -> int:
     """Run so many workers; returns the exit code."""
     from oakbridge.workers.door import Door
--- a/oakbridge/config/reference.py
+++ b/oakbridge/config/reference.py
@@ -24,8 +24,10 @@
     text = str(info.annotation)
     if "Literal" in text:
         return " or ".join(f"`{a}`" for a in getattr(info.annotation, "__args__", ()))
-    if "InlineServer" in text:
+    if "InlineServer" in text or "SipRoute" in text:
         return "tables"
+    if "Annotated[str" in text:
+        return "list of texts"
     for word, kind in (("list[", "list of IPv4:port"), ("tuple", "IPv4:port"), ("bool", "true or false"),
                        ("float", "number"), ("int", "whole number"), ("str", "text")):  # fmt: skip
         if word in text:
@@ -75,11 +77,15 @@
     parts = [HEAD]
     for name, info in schema.File.model_fields.items():
         many = name in ("classes", "tenants")
-        model: Any = info.annotation.__args__[0] if many else info.annotation  # type: ignore[union-attr]
+        # A list of tables, or a table that may be left out.
+        model: Any = getattr(info.annotation, "__args__", (info.annotation,))[0]
         key = info.alias or name
         parts.append(f"## `{'[[' if many else '['}{key}{']]' if many else ']'}`\n\n{model.__doc__}\n")
         parts.append("\n".join(_rows(model)) + "\n")
         if name == "servers":
             parts.append(f"### `[[servers.inline]]`\n\n{schema.InlineServer.__doc__}\n")
             parts.append("\n".join(_rows(schema.InlineServer)) + "\n")
+        if name == "sip":
+            parts.append(f"### `[[sip.route]]`\n\n{schema.SipRoute.__doc__}\n")
+            parts.append("\n".join(_rows(schema.SipRoute)) + "\n")
     return "\n".join(parts)
--- a/oakbridge/config/schema.py
+++ b/oakbridge/config/schema.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, model_validator
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, StringConstraints, model_validator
 
 from oakbridge.node.listing import ConfigError, parse_address
 from oakbridge.policy.vocabulary import KEYED
@@ -195,6 +195,33 @@
     within: Time = Field(3_000_000, description="Over so long.")
 
 
+class SipRoute(Table):
+    """Which SIP requests are of which class; the first that fits counts."""
+
+    klass: str = Field(alias="class", min_length=1, description="The class's name.")
+    methods: list[Annotated[str, StringConstraints(pattern=r"^[A-Z]+$")]] = Field(
+        [], description="Of these methods; all if empty."
+    )
+    user_prefix: str = Field("", description="To users whose name begins so.")
+
+
+class SipTable(Table):
+    """A second front, for SIP over UDP and TCP, on the same servers, limits and retry budget."""
+
+    listen: Address = Field(description="Where phones send to.")
+    server_port: int = Field(
+        5060, ge=0, le=65535, description="The servers' port for SIP; 0: the listed one."
+    )
+    tcp: bool = Field(True, description="Whether phones may use TCP; servers are asked over UDP.")
+    tenant_header: str = Field("", description="The header that names the tenant.")
+    key_header: str = Field("", description="The header that names the routing key.")
+    transactions: int = Field(20_000, ge=10, description="Transactions with phones at once.")
+    transactions_each: int = Field(2_000, ge=1, description="Of them, from one address.")
+    routes: list[SipRoute] = Field(
+        alias="route", min_length=1, max_length=1000, description="Which requests are of which class."
+    )
+
+
 class ControlTable(Table):
     """The local socket that `oakbridge status` asks; its owner alone may use it."""
 
@@ -221,6 +248,7 @@
     limits: LimitsTable = LimitsTable()
     retry_budget: RetryBudgetTable = RetryBudgetTable()
     cold_start: ColdStartTable = ColdStartTable()
+    sip: SipTable | None = None
     control: ControlTable = ControlTable()
     log: LogTable = LogTable()
 
@@ -232,6 +260,13 @@
                 if row.name in seen:
                     raise ValueError(f"{kind}: expected each name once, got {row.name!r} again")
                 seen.add(row.name)
+        for number, route in enumerate(self.sip.routes if self.sip else [], 1):
+            if route.klass not in {c.name for c in self.classes}:
+                raise ValueError(
+                    f"sip.route {number}: class: expected one of the classes, got {route.klass!r}"
+                )
+        if self.sip is not None and self.node.workers > 1:
+            raise ValueError("sip: expected node.workers = 1, as datagrams can't be handed on")
         return self
 
 
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 import math
 from collections import deque
 from collections.abc import Callable, Iterable
 from itertools import islice
+from typing import Protocol
 
 from oakbridge.node.clock import Clock
 from oakbridge.node.config import Config
@@ -59,6 +61,19 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
 
 
+class Front(Protocol):
+    """Another protocol's front on the node's module, with numbers of requests from the node's ``ids``."""
+
+    def owns(self, request: int) -> bool:
+        """Whether a request came in there."""
+
+    def carry_out(self, action: api.Action) -> None:
+        """Carry out one of the module's actions about such a request."""
+
+    def listed(self, listing: Listing) -> None:
+        """Keep to the list of servers."""
+
+
 class Node:
     """One node: the module, the sockets on both sides, and discovery."""
 
@@ -77,12 +92,13 @@
         self.tenants = {t.name for t in settings.tenants}
         self.requests: dict[int, Request] = {}
         self.open: set[bytes] = set()  # their ids
-        self.count = 0
+        self.ids = itertools.count(1)  # the module's numbers of requests, for all fronts
+        self.fronts: list[Front] = []  # beside HTTP
         self.served = self.refused = self.failed = 0  # answers since the start
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._loop = loop
-        self._names: set[str] = set()  # of all servers that are listed
+        self._listed: dict[str, Entry] = {}  # all servers that are listed, draining ones among them
         self._pieces: deque[Listing] = deque()  # of a long list, that are still to be taken
         upstream = int((config.sockets - RESERVE) * UPSTREAM_PART)
         self.pool = Pool(
@@ -198,8 +214,7 @@
             due = min(due, request.due_by - ENDING_MARGIN)
         if self.settings.max_open and len(self.requests) >= self.settings.max_open:
             return request.caller.answer(request, 503, [], b"")  # as on the simulator: the module sees none
-        self.count += 1
-        request.id = self.count
+        request.id = next(self.ids)
         self.requests[request.id] = request
         self.open.add(request.named[b"x-request-id"])
         # The module ends each request before this; it guards against one that it has forgotten.
@@ -246,11 +261,7 @@
         if listing.entries:
             first = ", ".join(f"{name} {state}" for name, state in islice(states.items(), 20))
             log.info("list %d: %s", listing.index, first[:400])
-        self._pieces.extend([listing] if saved else pieces(listing, self._names))
-        if listing.whole:
-            self._names.clear()
-        self._names.difference_update(name for name, state in states.items() if state == api.GONE)
-        self._names.update(name for name, state in states.items() if state != api.GONE)
+        self._pieces.extend([listing] if saved else pieces(listing, self._listed))
         self._next_piece(saved)
 
     def _next_piece(self, saved: bool = False) -> None:
@@ -262,6 +273,15 @@
     def _take_piece(self, saved: bool = False) -> None:
         """No connection that is given out after this leads elsewhere."""
         piece = self._pieces.popleft()
+        for front in self.fronts:
+            front.listed(piece)
+        if piece.whole:
+            self._listed.clear()
+        for entry in piece.entries:
+            if entry.server.state == api.GONE:
+                self._listed.pop(entry.server.id, None)
+            else:
+                self._listed[entry.server.id] = entry
         event = api.ServerList(
             [e.server for e in piece.entries], whole=piece.whole, saved=saved, more=bool(self._pieces)
         )
@@ -290,6 +310,8 @@
             token = action.token
             due = self.clock.now() + action.delay
             self.clock.call_at(due, lambda: self.post(api.TimerFired(token)))
+        elif self.fronts and self._elsewhere(action):
+            pass
         elif isinstance(action, api.Send):
             self._send(action)
         elif isinstance(action, api.Refuse):
@@ -309,6 +331,20 @@
         else:  # probes and peers: the module uses neither
             log.warning("no way to carry out %s", action)
 
+    def _elsewhere(self, action: api.Action) -> bool:
+        """Whether an action is about a request of another front, which then carries it out."""
+        request = getattr(action, "request", 0)
+        for front in self.fronts:
+            if front.owns(request):
+                front.carry_out(action)
+                return True
+        return False
+
+    def add_front(self, front: Front) -> None:
+        """Have another front on the same module; it hears of the servers that are listed now."""
+        self.fronts.append(front)
+        front.listed(Listing(0, True, list(self._listed.values())))
+
     def _send(self, action: api.Send) -> None:
         request = self.requests.get(action.request)
         if request is None or request.attempt is not None:
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -299,7 +299,7 @@
         self.failed_lately, self.resuming = 0.0, False
         self.cold_at, self.cold_share = -1, 0.0  # attempts a second for each server, at that time
         self.alarms: list[tuple[int, int, Callable[[int], None]]] = []
-        # When calls are given up: plain numbers, as nearly all have ended long before and must not be held on to.
+        # When calls are given up: plain numbers, as nearly all have ended by then and must not be held on to.
         self.ends: list[tuple[int, int]] = []
         self.alarm_count = self.timer = 0
         self.armed = math.inf
--- a/oakbridge/sip/proxy.py
+++ b/oakbridge/sip/proxy.py
@@ -184,6 +184,7 @@
         self._heap: list[tuple[int, int, Call | Branch | Pass]] = []
         self._count = 0
         self.dropped: Counter[str] = Counter()
+        self.leaving = False  # nothing new is taken; dialogs and what is open go on
 
     def _done(self) -> list[Action]:
         done, self._out = self._out, []
@@ -209,6 +210,10 @@
             self._settle(owner)
         return self._done()
 
+    def owed(self) -> int:
+        """How many callers wait for a final answer."""
+        return sum(not call.final for call in self.calls.values())
+
     def _settle(self, owner: Call | Branch | Pass) -> None:
         """After anything that happened to a transaction: have its next timer out, or let go of it."""
         due = owner.txn.due()
@@ -314,6 +319,8 @@
             return self._answer(call, 482, now)
         if m.tag(request, "to"):
             return self._in_dialog(call, uri, routes, peer, now)
+        if self.leaving:
+            return self._answer(call, 503, now, [("retry-after", "1")])
         klass = next((r.klass for r in self.settings.rules if r.fits(request, uri)), None)
         if klass is None:
             return self._answer(call, 404, now)
