--- a/oakbridge/sip/message.py
+++ b/oakbridge/sip/message.py
@@ -8,12 +8,17 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
+from functools import lru_cache
 
 MAX_MESSAGE = 64 * 1024  # bytes; a UDP datagram can't hold more
 MAX_HEADERS = 128
 MAX_LINE = 8 * 1024
 CRLF = b"\r\n"
+RECENT = (
+    512  # values that are remembered as read: one message's are asked for several times; 8 KB each at most
+)
 
 COMPACT = {
     "i": "call-id", "m": "contact", "e": "content-encoding", "l": "content-length", "c": "content-type", "f": "from",
@@ -72,7 +77,10 @@
 
     def get(self, name: str) -> str:
         """The first value of a header; empty if there is none."""
-        return next((value for n, value in self.headers if n == name), "")
+        for n, value in self.headers:
+            if n == name:
+                return value
+        return ""
 
     def all(self, name: str) -> list[str]:
         """All values of a header that may be a list, one each, over lines and commas."""
@@ -114,6 +122,7 @@
         return f"SIP/2.0 {self.status} {self.reason}"
 
 
+@lru_cache(RECENT)
 def spell(name: str) -> str:
     """A header's name as it is written."""
     return SPELLED.get(name) or "-".join(part[:1].upper() + part[1:] for part in name.split("-"))
@@ -288,6 +297,7 @@
         return f"SIP/2.0/{self.transport} {self.host}{port}{rest}"
 
 
+@lru_cache(RECENT)
 def parse_via(value: str) -> Via:
     """Read one Via."""
     found = _VIA.fullmatch(value)
@@ -298,10 +308,10 @@
 
 def top_via(message: Message) -> Via:
     """The last hop."""
-    values = message.all("via")
-    if not values:
+    first = split_list(message.get("via"))[:1]
+    if not first:
         raise BadMessage("Via: missing")
-    return parse_via(values[0])
+    return parse_via(first[0])
 
 
 def push_via(message: Message, via: Via) -> None:
@@ -326,9 +336,14 @@
 
 def cseq(message: Message) -> tuple[int, str]:
     """The sequence number, below 2**31, and the method."""
-    found = _CSEQ.fullmatch(message.get("cseq"))
+    return _read_cseq(message.get("cseq"))
+
+
+@lru_cache(RECENT)
+def _read_cseq(value: str) -> tuple[int, str]:
+    found = _CSEQ.fullmatch(value)
     if found is None or int(found[1]) >= 2**31:
-        raise BadMessage(f"CSeq: expected a number below 2**31 and a method, got {message.get('cseq')!r:.40}")
+        raise BadMessage(f"CSeq: expected a number below 2**31 and a method, got {value!r:.40}")
     return int(found[1]), found[2]
 
 
@@ -342,7 +357,8 @@
     return int(said)
 
 
-def address(value: str, where: str) -> tuple[str, dict[str, str]]:
+@lru_cache(RECENT)
+def address(value: str, where: str) -> tuple[str, Mapping[str, str]]:
     """``"Name" <uri>;params`` or ``uri;params``: the URI, and the parameters of the header.  Section 20.10."""
     text = value.strip()
     if text.startswith('"'):
--- a/oakbridge/sip/proxy.py
+++ b/oakbridge/sip/proxy.py
@@ -347,14 +347,16 @@
 
     def _looped(self, request: m.Request) -> bool:
         """RFC 5393, 4.2: it was here before, and nothing that decides its way has changed since."""
-        mark = _mark(request)
+        mark = ""
         for value in request.all("via"):
             try:
                 via = m.parse_via(value)
             except m.BadMessage:
                 continue
-            if via.sent_by == self._sent_by and via.branch.endswith("." + mark):
-                return True
+            if via.sent_by == self._sent_by:
+                mark = mark or "." + _mark(request)
+                if via.branch.endswith(mark):
+                    return True
         return False
 
     # ---- inside a dialog
--- a/tests/sip/test_front.py
+++ b/tests/sip/test_front.py
@@ -1,7 +1,10 @@
 """The front on real sockets: a node with HTTP and SIP, one module."""
 
 import asyncio
+import os
+import random
 import socket
+from contextlib import suppress
 
 from network import SECOND
 from peers import run
@@ -70,10 +73,16 @@
     return int(asyncio.get_running_loop().time() * SECOND)
 
 
-def free_udp_port():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def free_port():
+    """For datagrams and streams, below those that outgoing connections of other tests are given."""
+    draw = random.Random(os.getpid())
+    while True:
+        port = draw.randrange(15_000, 32_000)
+        kinds = socket.SOCK_DGRAM, socket.SOCK_STREAM
+        with socket.socket(type=kinds[0]) as one, socket.socket(type=kinds[1]) as other, suppress(OSError):
+            one.bind(("127.0.0.1", port))
+            other.bind(("127.0.0.1", port))
+            return port
 
 
 async def until(condition):
@@ -85,7 +94,7 @@
     """Calls over UDP and TCP; nobody listens at one of three servers, which is known at once and costs no answer."""
 
     async def test():
-        loop, port, dead = asyncio.get_running_loop(), free_udp_port(), free_udp_port()
+        loop, port, dead = asyncio.get_running_loop(), free_port(), 1
         servers = [
             (await loop.create_datagram_endpoint(lambda i=i: Datagrams(lambda p: Server(f"s{i}", p, i)),
                                                  local_addr=("127.0.0.1", 0)))[1] for i in range(2)
