--- a/oakbridge/cli/serve.py
+++ b/oakbridge/cli/serve.py
@@ -60,6 +60,8 @@
             config = replace(config, listen=first, also_listen=tuple(others))
         control = self.control or control
         workers = self.workers or loaded.file.node.workers
+        if workers > 1 and loaded.file.sip is not None:
+            raise ConfigError(f"{self.path}: sip: expected one worker, as datagrams can't be handed on")
         try:
             parts = (
                 [share(config, worker, workers) for worker in range(1, workers + 1)] if workers > 1 else []
--- a/oakbridge/sip/front.py
+++ b/oakbridge/sip/front.py
@@ -1,7 +1,7 @@
 """The sockets of the SIP front: datagrams and streams in and out, one timer, and the node's module beside them.
 
 All that is decided is decided in :mod:`oakbridge.sip.proxy`.  A peer that refuses datagrams is heard of through the
-socket's error queue (Linux), so that "nobody listens there" is known at once, and known as *never ran*.
+socket's error queue (Linux), so that "nobody listens there" is known at once and not by a time-out.
 """
 
 from __future__ import annotations
@@ -164,11 +164,10 @@
     def _refused(self) -> None:
         while True:
             try:
-                _, _, _, address = self._sock.recvmsg(256, 256, MSG_ERRQUEUE)
+                data, *_ = self._sock.recvmsg(1024, 256, MSG_ERRQUEUE)
             except OSError:
                 return
-            if address:
-                self._do(self.proxy.lost(self.node.clock.now(), Peer("UDP", *address[:2])))
+            self._do(self.proxy.refused(self.node.clock.now(), data))
 
     def heard(self, peer: Peer, data: bytes) -> None:
         """One message; a fault in it is contained."""
--- a/oakbridge/sip/proxy.py
+++ b/oakbridge/sip/proxy.py
@@ -17,6 +17,7 @@
 import heapq
 import itertools
 import random
+import re
 from collections import Counter
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
@@ -117,6 +118,7 @@
     cancelled: bool = False  # a CANCEL was sent
     ended_late: bool = False  # a BYE was sent for a 2xx that nobody waited for
     at: int | None = None  # when it is looked at next
+    sends: int = 0  # datagrams of it
 
 
 @dataclass(slots=True, eq=False)
@@ -251,13 +253,23 @@
         return self._done()
 
     def lost(self, now: int, peer: Peer) -> list[Action]:
-        """Nothing can be sent to that peer: its connection broke, or the network says so."""
+        """A peer's connection broke."""
         for client in [c for c in self.clients.values() if c.peer == peer]:
             self._event(client, "failed", None, now)
         for call in [c for c in self.calls.values() if c.peer == peer]:
             self._event(call, "failed", None, now)
         return self._done()
 
+    def refused(self, now: int, data: bytes) -> list[Action]:
+        """The network refused this datagram (its beginning): that says something about its own transaction alone."""
+        branch = _BRANCH.search(data)
+        if branch is not None:
+            method = data.split(b" ", 1)[0].decode("ascii", "replace")
+            client = self.clients.get((branch[1].decode("ascii", "replace"), method))
+            if client is not None:
+                self._event(client, "failed", None, now)
+        return self._done()
+
     def _unreadable(self, peer: Peer, fault: m.BadMessage) -> None:
         """An answer where the sender can be told from what was read; responses and ACKs get none, ever."""
         request = fault.request
@@ -537,6 +549,8 @@
             return  # a caller that can't be reached, or never acknowledges, changes nothing here
         if verb == "send":
             data = owner.request.render() if isinstance(owner, Branch) else owner.data
+            if isinstance(owner, Branch):
+                owner.sends += 1
             self._out.append(Transmit(owner.peer, data))
         elif verb == "ack" and isinstance(message, m.Response):
             self._out.append(Transmit(owner.peer, _ack_of(owner.request, message).render()))
@@ -553,7 +567,8 @@
             if owner.call is not None:
                 self._answer(owner.call, 408 if verb == "timeout" else 503, now)
             return
-        never = verb == "error" and not owner.provisional and not owner.peer.reliable
+        # Never ran only if the one datagram was refused: an earlier one may have reached a server that died since.
+        never = verb == "error" and not owner.provisional and not owner.peer.reliable and owner.sends == 1
         result = Result.TIMEOUT if verb == "timeout" else Result.CONNECT_FAILED if never else Result.RESET
         call = owner.owner
         owner.given_up = True
@@ -677,6 +692,7 @@
         return copy
 
 
+_BRANCH = re.compile(rb";branch=([^;,\s]+)")
 _ONE_LINE = str.maketrans("\r\n\t", "   ")
 
 
