Test what a refused datagram says of its own request and of others

Change: one table test: refused at once, and after a repeat; another request's attempt at that server goes on.

--- a/tests/sip/test_pure.py
+++ b/tests/sip/test_pure.py
@@ -214,3 +214,20 @@
     ):
         with pytest.raises(m.BadMessage):
             Stream().feed(bad)
+
+
+@pytest.mark.parametrize(("repeats", "result"), [(0, api.Result.CONNECT_FAILED), (1, api.Result.RESET)])
+def test_a_refusal_means_never_ran_only_for_the_one_datagram_of_its_own_request(repeats, result):
+    """A server may have taken an earlier datagram, or another request's, before it died."""
+    one, now = proxy(), 1
+    one.servers["s0"] = Peer("UDP", "10.2.0.1", 5060)
+    sent = []
+    for number in (1, 2):
+        text = changed(("z9hG4bK1", f"z9hG4bK{number}"), ("c1", f"c{number}"))
+        (post,) = one.received(now, Peer("UDP", "10.1.0.1", 6000), text)
+        sent += one.carry_out(now, api.Send(post.event.id, "s0", 5_000_000))
+    if repeats:
+        assert len(one.tick(now + T1)) == 2
+    ends = [a.event for a in one.refused(now + T1, sent[0].data[:500]) if isinstance(a, Post)]
+    assert [(e.request, e.result) for e in ends] == [(1, result)]
+    assert one.refused(now + T1, b"SIP/2.0 200 OK\r\nVia: x;branch=y") == []
