Share cold servers by what all can do, rest full ones, and give back useless connections

Causes, each measured: - cold_full gave each cold server a share of the copy's own attempts a second, times its warmth: with all cold the shares add up to half of what comes in, and the half becomes the next measure. Shares are now by what all servers can do together. - A hung server with its table full answered 1,360 times "full" in 10 s, to copies with nothing out there (up to 78 a second). With none out it looked idle and was chosen time and again. Now it rests for a growing while. - 1,103 of those answers came on connections on which nothing had ever been served: of the kept ones not one ever served later. The connection was kept, and being used last was used first. It is given back now. - on_list cut limit and flow with each server that left and never raised them with those that came.

Ruled out: queues at the servers (those that were full of work answered beside it); discovery (the last tier's lists were under 0.6 s old).

--- a/oakbridge/__main__.py
+++ b/oakbridge/__main__.py
@@ -16,7 +16,12 @@
 
 async def build(loop: asyncio.AbstractEventLoop) -> Node:
     """The node that the environment tells of."""
-    return Node(load(os.environ), loop)
+    node = Node(load(os.environ), loop)
+    if os.environ.get("OAKBRIDGE_TRACE"):
+        from oakbridge.node.trace import Trace
+
+        Trace(node)
+    return node
 
 
 def reload(node: Node) -> None:
--- a/oakbridge/node/upstream.py
+++ b/oakbridge/node/upstream.py
@@ -87,6 +87,9 @@
         self.pool, self.target = pool, target
         self.attempt: Attempt | None = None
         self.keep = True  # may be used again
+        # Guards against a connection that a server takes above its limit and turns away for as long as it lasts: kept
+        # and used last, it would be used first, and never serve.
+        self.served = False
         self.connected = self.closed = self.waits = False  # waits: for the socket to take more
         self.idle_since = 0
         self.unsent = memoryview(b"")
@@ -267,7 +270,8 @@
         self._stop_timer()
         attempt, self.attempt = self.attempt, None
         reply = Reply(result, self.headers, b"".join(self.body), self.status)
-        if self.reusable and self.keep and not self.unsent:
+        self.served = self.served or result != Result.FULL
+        if self.reusable and self.keep and not self.unsent and self.served:
             self.headers, self.body = [], []
             self.pool.rest(self)
         else:
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -39,6 +39,7 @@
 LEAST_EACH = 2.0  # never fewer for each server, by this copy's part
 URGENT = 2.0  # times the usual worth for its time: such a call may overdraw; see Admission.open
 BURST, CREDIT = 4.0, 2  # calls: a limit below that holds on average, over so many seconds; see Admission.open
+COLD_LOOK = SECOND // 20  # what cold servers can do together is looked at no more often
 QUICK = 6  # draws before a full look
 ENDS_LEFT = 512  # ended calls whose last moments are still kept, before a look whether to clear them out
 LIFO_AFTER, START_EACH, START_MANY = 0.2, 12.0, 3.5  # of the time to the aim; calls a server at the start
@@ -127,12 +128,18 @@
         s.score += math.log(bad / p) if failed else math.log((1 - bad) / (1 - p)) if bad > p else 0.0
         s.score = min(max(s.score, SCORE_LOW), SCORE_HIGH)
         self.rate += 0.02 * (failed - self.rate)
-        if failed and s.score > SCORE_EJECT and now >= s.ejected_until:
-            s.ejected_until = now + s.eject_for
-            s.eject_for = min(2 * s.eject_for, EJECT_MOST)
+        if failed and s.score > SCORE_EJECT:
+            self.rest(s, now)
         elif not failed and s.score <= 0:
             s.ejected_until, s.eject_for = 0, EJECT_FOR
 
+    @staticmethod
+    def rest(s: Server, now: int) -> None:
+        """Eject it for a growing while; what fails while it is ejected was sent before."""
+        if now >= s.ejected_until:
+            s.ejected_until = now + s.eject_for
+            s.eject_for = min(2 * s.eject_for, EJECT_MOST)
+
     @staticmethod
     def score(s: Server, now: int) -> float:
         """The score now; it fades, so that an unused server is tried again."""
@@ -297,7 +304,8 @@
         self.upcoming: list[str] = []
         self.answers = self.reviewed = self.ask_failures = 0
         self.failed_lately, self.resuming = 0.0, False
-        self.cold_at, self.cold_share = -1, 0.0  # attempts a second for each server, at that time
+        self.young: dict[str, Server] = {}  # those that may still be cold
+        self.cold_at, self.cold_share = -COLD_LOOK, 0.0  # attempts a second for a warm server, then
         self.alarms: list[tuple[int, int, Callable[[int], None]]] = []
         # When calls are given up: plain numbers, as nearly all have ended by then and must not be held on to.
         self.ends: list[tuple[int, int]] = []
@@ -390,9 +398,8 @@
             if server.id not in self.servers and not server.joined:  # made ready for, and not listed
                 self.known.pop(server.id)
         self.upcoming = []
-        part = min(
-            1.0, max(1, len(self.servers)) / max(1, self.before)
-        )  # fewer servers carry less than before
+        # Both ways: where servers are replaced one by one, it must not end at nothing.
+        part = max(1, len(self.servers)) / max(1, self.before)
         self.admission.flow, self.admission.limit = self.admission.flow * part, self.admission.limit * part
         share = len(self.servers) / self.settings.instances
         self.admission.least = LEAST_EACH * share
@@ -409,10 +416,11 @@
         server = self.known.get(entry.id)
         if server is None:
             server = self.known[entry.id] = Server(entry, size)
-            return server
-        # At another place it is another process: what keeps to an older list may not go there.
-        joined = server.joined if server.place == entry.place else self.version
-        self.members.relist(server, entry, size, joined, now)
+        else:  # at another place it is another process: what keeps to an older list may not go there
+            joined = server.joined if server.place == entry.place else self.version
+            self.members.relist(server, entry, size, joined, now)
+        if entry.started:
+            self.young[entry.id] = server
         return server
 
     def on_upcoming(self, now: int, event: api.Upcoming) -> None:
@@ -459,7 +467,7 @@
         if (pressure > WIDEN_AT or self.failed_lately > 0.1) and len(self.spare):
             self.draw(now)
         elif pressure < NARROW_AT and len(self.subset) > self.least():
-            self.members.move(self.subset.any(self.random), self.spare, now)
+            self.members.move(self.subset.draw(self.random, True), self.spare, now)
 
     def warmth(self, s: Server, now: int) -> float:
         """The least share of its capacity that a server can have by now."""
@@ -470,12 +478,16 @@
         return g.cold_from + (1 - g.cold_from) * max(0, age) / g.warm_up
 
     def cold_full(self, s: Server, now: int) -> bool:
-        """Whether a cold server has had this copy's share of half of what would push it over."""
+        """Whether it has had this copy's part, by what servers can do, of half of what would push it over."""
         if (warmth := self.warmth(s, now)) >= 1:
             return False
-        if self.cold_at != now:  # the same for all that one request looks at
-            self.cold_at, self.cold_share = now, self.budget.per_second(now) / max(1, len(self.servers))
-        rate = self.cold_share * min(1.0, warmth * max(1.0, self.settings.fall_multiple / 2))
+        if now - self.cold_at >= COLD_LOOK * (1 + len(self.young) // LOOKS):  # a bounded part of the time
+            young = [y for y in self.young.values() if self.servers.get(y.id) is y]
+            self.young = {y.id: y for y in young if self.warmth(y, now) < 1}
+            able = len(self.servers) - sum(1 - self.warmth(y, now) for y in self.young.values())
+            self.cold_share = self.budget.per_second(now) / max(self.settings.cold_from, able)
+            self.cold_at = now
+        rate = self.cold_share * warmth * max(1.0, self.settings.fall_multiple / 2)
         if s.tokens_at < 0:
             s.tokens = self.random.random()  # copies that see it at the same time don't all send at once
         else:
@@ -526,11 +538,10 @@
 
     def draw(self, now: int) -> None:
         """Widen the subset by a random spare server; where crossing has a price, half are of the own zone."""
-        own, spare = self.subset.near.count + self.subset.near_out.count, self.spare
-        near = (
-            bool(self.home) and 2 * own <= len(self.subset) and bool(spare.near.count + spare.near_out.count)
-        )
-        self.members.move(spare.any(self.random, near), self.subset, now)
+        own = self.subset.near.count + self.subset.near_out.count
+        near = self.home and 2 * own <= len(self.subset) and self.spare.near.count
+        s = self.spare.near.draw(self.random) if near else self.spare.draw(self.random, True)
+        self.members.move(s, self.subset, now)
 
     def offer(self, side: Side, few: list[Server] | None, whole: bool = False) -> Iterable[Server]:
         """Members of a side in random order; ``few``: all that a call may go to, if few."""
@@ -541,11 +552,8 @@
     def few(self, call: Call) -> list[Server] | None:
         """The servers that a call is confined to, where these are too few for draws from all to find them."""
         found: list[Server] | None = None
-        if (
-            call.klass.repeat == KEYED
-            and call.klass.group != "all"
-            and (ran := self.safety.may_have_run(call))
-        ):
+        confined = call.klass.repeat == KEYED and call.klass.group != "all"
+        if confined and (ran := self.safety.may_have_run(call)):
             group = self.members.group(ran[0].where, call.klass.group)
             found = list(group.values()) if len(group) <= LOOKS else None
         if found is None and self.safety.one_version and call.version < self.version:
@@ -680,16 +688,19 @@
         failed = result != Result.OK
         self.failed_lately += 0.05 * (failed - self.failed_lately)
         # A server that turns calls away, or takes no more connections while it answers, is full, not sick:
-        # it gets no more than it had, and a little more with each answer.
+        # it gets no more than it had, and a little more with each answer.  If it had none it rests: others fill
+        # it, or it is stuck, and as it answers at once and has no call out it would be chosen time and again.
         crowded = result == Result.CONNECT_FAILED and server.out and now - server.answered < SECOND
+        before = server.ejected_until
         if result == Result.FULL or crowded:
             server.cap = max(1.0, min(server.cap, float(len(server.out))))
+            if not server.out:
+                self.health.rest(server, now)
         else:
-            before = server.ejected_until
             for _ in range(1 + (result == Result.CONNECT_FAILED)):  # none at all weighs double: it is down
                 self.health.note(server, failed, now)
-            if server.ejected_until != before:
-                self.members.judged(server, now)
+        if server.ejected_until != before:
+            self.members.judged(server, now)
         if result == Result.OK:
             self.answers, server.answered = self.answers + 1, now
             server.cap += 0.5 / server.cap
--- a/oakbridge/policy/membership.py
+++ b/oakbridge/policy/membership.py
@@ -115,14 +115,6 @@
             if s.size == top or rng.random() * top < s.size:
                 return s
 
-    def at(self, place: int) -> Server:
-        """The server at a place of the pool's order."""
-        for group in self.groups.values():
-            if place < len(group):
-                return group[place]
-            place -= len(group)
-        raise IndexError(place)
-
 
 def _rank(size: float) -> int:
     mantissa, exponent = math.frexp(size)
@@ -158,16 +150,6 @@
         """How many are ejected."""
         return self.near_out.count + self.far_out.count
 
-    def any(self, rng: random.Random, near: bool = False) -> Server:
-        """One of all members, each as likely as another; ``near``: of those in the own zone."""
-        pools = (self.near, self.near_out) if near else self.pools(True)
-        place = rng.randrange(sum(pool.count for pool in pools))
-        for pool in pools:
-            if place < pool.count:
-                return pool.at(place)
-            place -= pool.count
-        raise IndexError(place)
-
     def draw(self, rng: random.Random, whole: bool) -> Server:
         """One by size."""
         if not whole and not self.far.count:
@@ -204,9 +186,10 @@
 
         Where crossing zones has a price (``home``), one of the own zone comes first: any pair has one.
         """
-        head, behind = self._head(rng, whole) if home else (None, 0.0)
-        if head is not None:
-            yield head
+        head, behind = None, 0.0  # the first of the own zone, and how far behind the start its zone begins
+        if home and self.near.count:
+            yield (head := self.near.draw(rng))
+            behind = rng.expovariate(self.near.total)
         count = sum(pool.count for pool in self.pools(whole))
         if count <= SMALL:
             rest = [s for s in self.members(whole) if s is not head]
@@ -225,15 +208,6 @@
             if s not in seen:
                 yield s
 
-    def _head(self, rng: random.Random, whole: bool) -> tuple[Server | None, float]:
-        """The first of the own zone (None if it is ejected), and how far behind the start its zone begins."""
-        pools = [pool for pool in (self.near, self.near_out) if pool.count]
-        if not pools:
-            return None, 0.0
-        total = sum(pool.total for pool in pools)
-        pool = pools[-1] if rng.random() * total >= pools[0].total else pools[0]
-        return (pool.draw(rng) if whole or pool is self.near else None), rng.expovariate(total)
-
 
 def shuffled(
     members: list[Server], rng: random.Random, behind: Callable[[Server], float] = lambda _: 0.0
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -352,3 +352,23 @@
                     assert (await soon(second)).body == b"second"
 
     run(scenario())
+
+
+def test_a_connection_on_which_nothing_was_served_is_not_kept():
+    """Guards against one that the server took above its limit: it turns away all that comes on it."""
+
+    async def main() -> None:
+        full = reply(503, b"", "X-Not-Processed: 1")
+        script = iter([full, full, reply(200), full, full])
+        async with Peer(lambda _: next(script)) as server:
+            bench = Bench(server.port)
+            results = []
+            for _ in range(5):
+                results.append(await bench.result())
+                await asyncio.sleep(2 * SETTLE / 1e6)
+            assert results == [Result.FULL, Result.FULL, Result.OK, Result.FULL, Result.FULL]
+            assert server.connections == 3
+            assert bench.pool.count == 1  # the one that has served, and turned two away since
+            bench.pool.close()
+
+    run(main())
