Give a silent watch up before ask-within is over, not after 22 s

At fault: discovery.py waited WATCH_MS = 20 s and 2 s more, twice the 10 s after which the settings hold a node for told. A watch now waits ask_within less those 2 s.

--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -14,7 +14,7 @@
 
 log = logging.getLogger(__name__)
 
-WATCH_MS = 20_000  # how long a watch may wait for news
+WATCH_S = 20.0  # how long a watch may wait for news
 ANSWER_S = 2.0  # what is not answered so long after its wait counts as told all the same: it is lost
 AGENT_AGAIN_S = 0.1  # an agent on the own machine is asked again so soon after it failed
 MAX_LIST = 4 * 1024 * 1024
@@ -41,8 +41,14 @@
 class Discovery:
     """Asks; what comes is handed on as a listing, and what fails as a loss."""
 
-    def __init__(self, address: Address, pushed: bool) -> None:
+    def __init__(self, address: Address, pushed: bool, ask_within: int) -> None:
+        """``ask_within``: microseconds after which a node that has not asked counts as told of all changes.
+
+        A watch that has fallen silent looks like one without news; it is given up before that time is over, so that
+        no node goes on for longer with a list that others know to be wrong.
+        """
         self._address, self._pushed = address, pushed
+        self._wait = max(1.0, min(WATCH_S, ask_within / 1e6 - ANSWER_S))
         self.index: int | None = None
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
@@ -100,8 +106,8 @@
         while True:
             path, wait = "/api/targets", ANSWER_S
             if self.index is not None:
-                path += f"?since={self.index}&timeout_ms={WATCH_MS}"
-                wait += WATCH_MS / 1000
+                path += f"?since={self.index}&timeout_ms={int(1000 * self._wait)}"
+                wait += self._wait
             try:
                 self._take(await self._ask(path, wait), first)
                 first = False
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from peers import Peer, Running, endpoint, listing, reply, run, soon
+from peers import SETTINGS, Peer, Running, endpoint, listing, reply, run, soon
 
 from oakbridge.node.downstream import parse_timeout
 from oakbridge.node.listing import BadList, parse
@@ -272,6 +272,22 @@
     run(scenario())
 
 
+def test_a_watch_that_fell_silent_is_given_up_before_the_list_counts_as_told():
+    """Guards against nodes that go on for 20 s with a list on which most servers are gone."""
+
+    async def scenario():
+        async with Running(
+            settings=SETTINGS | {"invariants": SETTINGS["invariants"] | {"ask-within": 3_000_000}}
+        ) as node:
+            first = await soon(node.registry.seen.get())
+            again = await soon(node.registry.seen.get())  # nothing was answered
+            assert first.connection != again.connection
+            assert "timeout_ms=1000" in first.url
+            assert "since=1&" in again.url
+
+    run(scenario())
+
+
 def test_drain_is_applied_at_once_and_the_watch_goes_on_from_its_index():
     async def scenario():
         async with (
