Let cold servers have most of what they bear, and calls take longer before the limit falls

The first tier's limit shrank because 0.95 s is over 0.3 of the aim, though 2.5 s is in time.

At fault: cold_full's half of fall_multiple (now 0.8 of it), and ALLOWED = 0.3 of the aim (now 0.45).

--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -35,11 +35,11 @@
 COVER, WIDEN_AT, NARROW_AT = 5, 1.0, 0.25
 REPORT_TRUST, CROSSING = 0.5, 2.0  # of a reported waiting request against an own call; of a server elsewhere
 # Admission: calls out, as a multiple of what carries the highest rate seen at the least latency seen.
-GAIN, GAIN_LEAST, SLOWER, ALLOWED = 1.6, 0.8, 2.0, 0.3
+GAIN, GAIN_LEAST, SLOWER, ALLOWED = 1.6, 0.8, 2.0, 0.45
 LEAST_EACH = 2.0  # never fewer for each server, by this copy's part
 URGENT = 2.0  # times the usual worth for its time: such a call may overdraw; see Admission.open
 BURST, CREDIT = 4.0, 2  # calls: a limit below that holds on average, over so many seconds; see Admission.open
-COLD_LOOK = SECOND // 20  # what cold servers can do together is looked at no more often
+COLD_PART, COLD_LOOK = 0.8, SECOND // 20  # of what pushes a cold server over; between looks at all of them
 QUICK = 6  # draws before a full look
 ENDS_LEFT = 512  # ended calls whose last moments are still kept, before a look whether to clear them out
 LIFO_AFTER, START_EACH, START_MANY = 0.2, 12.0, 3.5  # of the time to the aim; calls a server at the start
@@ -478,7 +478,7 @@
         return g.cold_from + (1 - g.cold_from) * max(0, age) / g.warm_up
 
     def cold_full(self, s: Server, now: int) -> bool:
-        """Whether it has had this copy's part, by what servers can do, of half of what would push it over."""
+        """Whether it has had this copy's part, by what servers can do, of most that it bears."""
         if (warmth := self.warmth(s, now)) >= 1:
             return False
         if now - self.cold_at >= COLD_LOOK * (1 + len(self.young) // LOOKS):  # a bounded part of the time
@@ -487,7 +487,7 @@
             able = len(self.servers) - sum(1 - self.warmth(y, now) for y in self.young.values())
             self.cold_share = self.budget.per_second(now) / max(self.settings.cold_from, able)
             self.cold_at = now
-        rate = self.cold_share * warmth * max(1.0, self.settings.fall_multiple / 2)
+        rate = self.cold_share * warmth * max(1.0, COLD_PART * self.settings.fall_multiple)
         if s.tokens_at < 0:
             s.tokens = self.random.random()  # copies that see it at the same time don't all send at once
         else:
