Count calls out at a much slower server for several, and learn from what is called off

At fault: Balancer.pick passes over a member with more than its even part of the calls out, counted by number: that makes the parts even, also where one needs eight times as long. And learn() left out what was called off; clients leave after 3.0 to 3.6 s, so a server that needs longer was heard of least. Now a call counts by how much longer its server takes (beyond twice the usual), by answers, by calls called off, and by half the age of the oldest out.

--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -293,6 +293,7 @@
         # Inner tiers leave time for their callers, also when calls carry no time left.
         self.time_share = 1 - settings.tier / (2 * settings.tiers)
         self.latency = {c.name: Latency(c.aim / 5 * self.time_share) for c in settings.classes}
+        self.mean = sum(x.mean for x in self.latency.values()) / len(self.latency)  # over classes
         self.home = settings.zone if settings.prices.cross_zone > 0 and len(settings.zones) > 1 else ""
         self.members = Membership(self.home)
         self.servers = self.members.servers  # those that may be sent to
@@ -497,16 +498,9 @@
 
     def hangs(self, s: Server, now: int) -> bool:
         """Whether a call is out far too long; where others are answered, it is stuck in the tier behind."""
-        oldest = next(iter(s.out.values()), None)
-        return (
-            oldest is not None
-            and self.answers - oldest.answers >= 8
-            and now - max(oldest.sent, s.answered) > HANG_MEANS * self.mean_latency()
-        )
-
-    def mean_latency(self) -> float:
-        """Mean latency over classes."""
-        return sum(x.mean for x in self.latency.values()) / len(self.latency)
+        oldest = next(iter(s.out.values()))
+        long = now - max(oldest.sent, s.answered) > HANG_MEANS * self.mean
+        return long and self.answers - oldest.answers >= 8
 
     def usable(self, s: Server, call: Call, now: int) -> bool:
         """Whether this call may go to this server now."""
@@ -531,10 +525,15 @@
         busy = (own + s.size) / s.size * self.slowness(s, now)
         return busy * (CROSSING if self.home and s.zone != self.home else 1), (s.last_sent - now) * s.size
 
-    @staticmethod
-    def slowness(s: Server, now: int) -> float:
-        """Its latest latencies as a multiple of the tier's; it fades, so that the server is tried again."""
-        return 0.9 + (s.slowness - 0.9) * math.exp((s.paced - now) / (8 * SECOND))
+    def slowness(self, s: Server, now: int) -> float:
+        """Its latest latencies, which fade, or half of how long a call is out, as a multiple of the tier's."""
+        pace = 0.9 + (s.slowness - 0.9) * math.exp((s.paced - now) / (8 * SECOND))
+        oldest = next(iter(s.out.values()), None)
+        return pace if oldest is None else max(pace, (now - oldest.sent) / (2 * self.mean))
+
+    def held(self, s: Server, now: int) -> float:
+        """Own calls out there; on a much slower server each for several: its even part is a smaller one."""
+        return len(s.out) * max(1.0, self.slowness(s, now) - 1) if s.out else 0.0
 
     def draw(self, now: int) -> None:
         """Widen the subset by a random spare server; where crossing has a price, half are of the own zone."""
@@ -567,7 +566,7 @@
         if not call.attempts and not self.home and (pool := self.subset.near).count:
             for _ in range(QUICK):  # nearly always two of the first few draws may be used
                 s = pool.draw(self.random)
-                if len(s.out) < even and s not in pair and self.usable(s, call, now):
+                if self.held(s, now) < even and s not in pair and self.usable(s, call, now):
                     pair.append(s)
                     if len(pair) == 2:
                         return pair
@@ -582,7 +581,7 @@
             for s in self.offer(members, few):
                 if s.id in tried or (tried and not self.safety.may_send(call, s, now)):
                     continue
-                if len(s.out) >= most:
+                if self.held(s, now) >= most:
                     passed = True
                     continue
                 if self.usable(s, call, now):
@@ -625,9 +624,7 @@
         pair = self.pick(call, now)
         if not pair:
             return False
-        first, second = pair[0], pair[-1]
-        less = second is not first and self.load(second, now) < self.load(first, now)
-        self.start(call, second if less else first, now)
+        self.start(call, min(pair, key=lambda s: self.load(s, now)), now)
         return True
 
     def start(self, call: Call, server: Server, now: int) -> None:
@@ -658,7 +655,7 @@
         attempt.result = event.result
         if event.result in (Result.TIMEOUT, Result.CANCELLED):
             # The server may well work on: it counts as busy with the call for about as long as one takes.
-            self.alarm(now, self.mean_latency(), lambda t: self.free(server, key, t))
+            self.alarm(now, self.mean, lambda t: self.free(server, key, t))
         else:
             self.free(server, key, now)
         if event.report and "queued" in event.report:
@@ -683,6 +680,11 @@
     def learn(self, server: Server, event: api.AttemptEnded, now: int) -> None:
         """Take an outcome into health, latencies and the limit."""
         result, call = event.result, self.calls.get(event.request)
+        if result in (Result.OK, Result.TIMEOUT, Result.CANCELLED):
+            usual = self.latency[call.klass.name].mean if call else self.mean
+            pace, latest = self.slowness(server, now), min(event.latency / usual, 6.0)
+            if result == Result.OK or latest > pace:  # what was called off would have taken longer
+                server.slowness, server.paced = pace + 0.25 * (latest - pace), now
         if result in (Result.CANCELLED, Result.NOT_SENT):
             return
         failed = result != Result.OK
@@ -706,11 +708,9 @@
             server.cap += 0.5 / server.cap
         if call is not None:
             seen = self.latency[call.klass.name]
-            if result in (Result.OK, Result.TIMEOUT):
-                pace, server.paced = self.slowness(server, now), now
-                server.slowness = pace + 0.25 * (min(event.latency / seen.mean, 6.0) - pace)
             if result == Result.OK:
                 seen.note(event.latency)
+                self.mean = sum(x.mean for x in self.latency.values()) / len(self.latency)
             allowed = max(SLOWER * seen.least, ALLOWED * call.klass.aim * self.time_share)
             self.admission.note(event.latency, seen.least, allowed, result, now)
 
--- a/tests/policy/fleet.py
+++ b/tests/policy/fleet.py
@@ -29,6 +29,7 @@
     queue: int = 8
     connections: int = 1000  # that it takes, each copy holding one for each call out, and its last one
     hangs: bool = False
+    slower: float = 1.0
     gone: bool = False
     running: set[tuple[int, int, int]] = field(default_factory=set)
     waiting: deque[tuple[int, int, int]] = field(default_factory=deque)
@@ -142,7 +143,7 @@
         while server.waiting and len(server.running) < server.workers:
             key = server.waiting.popleft()
             server.running.add(key)
-            took = self.work * self.random.uniform(0.7, 1.3) / self.warmth(server, self.now)
+            took = self.work * self.random.uniform(0.7, 1.3) * server.slower / self.warmth(server, self.now)
             if not server.hangs:
                 self.at(self.now + took, lambda key=key, began=self.now: self.answer(server, key, began))
 
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -710,3 +710,40 @@
                 d.end(send, Result.FULL if send.server == "s0" else Result.OK, number)
             d.run_to(d.now + 30_000)
     assert 1 <= tried <= 6
+
+
+def test_a_slow_servers_even_part_of_calls_is_a_smaller_one():
+    """Day disco+zone+huge: three servers that did 2 a second held as many calls as those that did 20."""
+    d = Driver(servers=4)
+    d.serve(60, gap=100_000)
+    d.b.admission.limit = 100.0
+    while min(len(s.out) for s in d.b.servers.values()) < 2:
+        d.ask()
+    slow = d.b.servers["s0"]
+    d.run_to(d.now + 50_000)
+    for (request, number), attempt in list(slow.out.items())[1:]:
+        d.feed(AttemptEnded(request, number, "s0", Result.OK, 50_000, True))
+        assert attempt.result == Result.OK
+    slow.slowness, slow.paced = 6.0, d.now
+    assert len(slow.out) == 1 < min(len(s.out) for s in d.b.servers.values() if s is not slow)
+    sent = [a for _ in range(4) for a in d.ask() if isinstance(a, api.Send)]
+    assert len(sent) == 4 and all(a.server != "s0" for a in sent)
+
+
+def test_what_is_called_off_late_tells_that_its_server_is_slow():
+    """Clients leave after three seconds: a server that needs five would never be heard of."""
+    d = Driver(servers=2, cancel=True)
+    d.serve(60)
+    for _ in range(4):
+        sent = next(a for a in d.ask() if isinstance(a, api.Send))
+        server = d.b.servers[sent.server]
+        before = d.b.slowness(server, d.now)
+        d.run_to(d.now + 200_000)
+        d.feed(api.ClientGone(sent.request))
+        d.feed(AttemptEnded(sent.request, 0, sent.server, Result.CANCELLED, 200_000))
+        assert d.b.slowness(server, d.now) > before
+    quick = next(a for a in d.ask() if isinstance(a, api.Send))
+    server = d.b.servers[quick.server]
+    before = d.b.slowness(server, d.now)
+    d.feed(AttemptEnded(quick.request, 0, quick.server, Result.CANCELLED, 100))
+    assert d.b.slowness(server, d.now) <= before  # called off at once it tells nothing
