Call off what waits at a server that hangs, so that it goes elsewhere in time

Each of 16 copies had a call or so there; the last tier sent 157 a second before and 65 during it, though its limits had room (32 to 45 out, 80 allowed). The middle tier had 51 out of 52 allowed, nearly all waiting for those calls, and the first tier 81 out with 250 waiting: a few calls stuck in the last tier fill the limits of both tiers above.

At fault: an attempt may take all the time that its call has left (Balancer.start); a server that hangs is passed over by new calls only. Now the copy that has the call out calls it off after four mean latencies, if eight newer ones elsewhere were answered, the class may be repeated and the budget has room; the server is ejected for a growing while, and the call retried as after any failure. Unsafe calls wait on; a tier that is slow as a whole calls nothing off.

--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -48,11 +48,12 @@
 class Attempt:
     """One attempt of a request."""
 
-    __slots__ = ("server", "sent", "result", "answers", "where")
+    __slots__ = ("server", "sent", "result", "answers", "where", "off")
 
     def __init__(self, server: Server, sent: int, answers: int) -> None:
         self.server, self.sent, self.answers, self.where = server, sent, answers, (server.zone, server.cell)
         self.result: Result | None = None
+        self.off = False  # called off to go elsewhere
 
 
 class Call:
@@ -235,10 +236,6 @@
         self.hit = self.hit or not may
         return may
 
-    def pause(self) -> float:
-        """For how long a limit below the burst keeps the next call back, if no answer comes first."""
-        return SECOND * max(0.0, -self.credit) / (self.limit - self.out) if self.limit > self.out else SECOND
-
     def value(self, worth: float) -> float:
         """Worth for the time that a call takes, as a multiple of what is usual here."""
         self.usual += 0.02 * (worth - self.usual) if self.usual else worth
@@ -459,11 +456,24 @@
         """The smallest subset at which all copies together still cover every server about evenly."""
         return min(len(self.servers), max(4, math.ceil(COVER * len(self.servers) / self.settings.instances)))
 
+    def unstick(self, now: int) -> None:
+        """Call off what waits at a server that hangs, to go elsewhere: it holds places in all tiers above."""
+        may = self.settings.cancel
+        for call in [c for c in self.calls.values() if may and c.out and c.klass.repeat != UNSAFE]:
+            attempt = call.attempts[-1]
+            late = not attempt.off and now - attempt.sent > HANG_MEANS * self.mean
+            if late and self.hangs(attempt.server, now) and self.budget.left(now) >= 1:
+                attempt.off = True
+                self.health.rest(attempt.server, now)
+                self.members.judged(attempt.server, now)
+                self.actions.append(api.Cancel(call.id, len(call.attempts) - 1))
+
     def review(self, now: int) -> None:
         """Now and then, widen the subset when calls pile up or fail, and narrow it when quiet."""
         if now - self.reviewed < SECOND // 2:
             return
         self.reviewed = now
+        self.unstick(now)
         pressure = self.admission.out / max(1, len(self.subset))
         if (pressure > WIDEN_AT or self.failed_lately > 0.1) and len(self.spare):
             self.draw(now)
@@ -647,6 +657,7 @@
 
     def on_ended(self, now: int, event: api.AttemptEnded) -> None:
         """An attempt has ended: learn from it, then finish, retry or give up."""
+        self.review(now)
         server = self.known.get(event.server)
         key = event.request, event.attempt
         attempt = server.out.get(key) if server else None
@@ -758,8 +769,9 @@
             elif not self.place(call, now):
                 return
         if self.admission.waiting and not self.resuming and not self.admission.out:
-            self.resuming = True
-            self.alarm(now, self.admission.pause(), self.resume)
+            self.resuming, limit = True, self.admission.limit  # one below the burst holds the next call back
+            pause = SECOND * max(0.0, -self.admission.credit) / limit if limit > 0 else SECOND
+            self.alarm(now, pause, self.resume)
 
     def resume(self, now: int) -> None:
         """The limit lets a call out again though no answer came."""
--- a/oakbridge/policy/membership.py
+++ b/oakbridge/policy/membership.py
@@ -42,7 +42,7 @@
         self.started, self.place = -1, ""
         self.joined = 0  # the version since which it has been listed without a break
         self.side: Side | None = None  # the subset or the spare ones, while it is listed
-        self.pool: Pool | None = None
+        self.pool: Pool  # where it is drawn from, while it is listed
         self.slot = 0
         self.relist(entry, size)
 
@@ -89,7 +89,6 @@
         last = group.pop()
         if last is not s:
             group[s.slot], last.slot = last, s.slot
-        s.pool = None
         self.count -= 1
         if not group:  # sums are set right here, so that rounding never piles up
             del self.groups[rank], self.sums[rank]
@@ -146,10 +145,6 @@
         """All of them in one list."""
         return [s for pool in self.pools(whole) for group in pool.groups.values() for s in group]
 
-    def ejected(self) -> int:
-        """How many are ejected."""
-        return self.near_out.count + self.far_out.count
-
     def draw(self, rng: random.Random, whole: bool) -> Server:
         """One by size."""
         if not whole and not self.far.count:
@@ -239,7 +234,7 @@
     def remove(self, s: Server) -> None:
         """List a server no more."""
         if self.servers.pop(s.id, None) is not None:
-            self._leave(s)
+            s.pool.remove(s)
             self._index(s, (s.zone, s.cell, s.joined), gone=True)
             s.side = None
 
@@ -253,7 +248,7 @@
         if same and s.started == entry.started and s.place == entry.place:
             s.gone = False
             return
-        self._leave(s)
+        s.pool.remove(s)
         before = s.zone, s.cell, s.joined
         s.relist(entry, size)
         s.joined = joined
@@ -262,7 +257,7 @@
 
     def move(self, s: Server, side: Side, now: int) -> None:
         """Put a server on the other side."""
-        self._leave(s)
+        s.pool.remove(s)
         self._enter(s, side, now)
 
     def judged(self, s: Server, now: int) -> None:
@@ -284,7 +279,7 @@
 
     def ejected(self) -> int:
         """How many are ejected."""
-        return self.subset.ejected() + self.spare.ejected()
+        return sum(side.near_out.count + side.far_out.count for side in (self.subset, self.spare))
 
     def oldest(self) -> float:
         """The version since which some server is listed without a break; infinity without servers."""
@@ -317,11 +312,6 @@
         self.benchings += 1
         heapq.heappush(self.benched, (s.ejected_until, self.benchings, s))
 
-    @staticmethod
-    def _leave(s: Server) -> None:
-        assert s.pool is not None
-        s.pool.remove(s)
-
     def _index(self, s: Server, before: tuple[str, int, int] | None = None, gone: bool = False) -> None:
         """Have it under its zone, cell and version, and no more under those that it had before."""
         indexes: tuple[dict[Any, dict[str, Server]], ...] = self.by_zone, self.by_cell, self.by_version
--- a/oakbridge/policy/retry_budget.py
+++ b/oakbridge/policy/retry_budget.py
@@ -6,16 +6,14 @@
 
 SECOND = 1_000_000
 
-# The retry budget: retries in the window stay under RATIO x first attempts + FLOOR_PER_S x the window.
-WINDOW_S = 10
-RATIO = 0.2
-FLOOR_PER_S = 0.1  # every copy of every tier has this floor, so it must stay far below a copy's traffic
-
 
 class RetryBudget:
-    """First attempts and retries of a sliding window; tenants share what retries it allows."""
+    """Retries in a sliding window stay under ratio x first attempts + floor; tenants share what it allows.
+
+    Every copy of every tier has the floor (a second), so it must stay far below a copy's traffic.
+    """
 
-    def __init__(self, ratio: float = RATIO, floor: float = FLOOR_PER_S, window: int = WINDOW_S) -> None:
+    def __init__(self, ratio: float, floor: float, window: int) -> None:
         self.ratio, self.floor, self.window = ratio, floor * window, window
         self.slots: deque[tuple[int, list[float], dict[str, float]]] = deque()  # second, [firsts, retries]
         self.firsts = self.retries = 0.0
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -8,7 +8,7 @@
 
 from oakbridge.policy import vocabulary as api
 from oakbridge.policy.balancer import BURST, START_EACH, START_MANY, Balancer, Health, Server
-from oakbridge.policy.retry_budget import FLOOR_PER_S, RATIO, SECOND, WINDOW_S, RetryBudget
+from oakbridge.policy.retry_budget import SECOND, RetryBudget
 from oakbridge.policy.vocabulary import (
     KEYED,
     SAFE,
@@ -20,6 +20,7 @@
     ServerList,
 )
 
+RATIO, FLOOR_PER_S, WINDOW_S = 0.2, 0.1, 10  # the settings' own
 READ = api.RequestClass("read", 1_000_000, 4_000_000, 1, 0.5, SAFE)
 PAY = api.RequestClass("pay", 1_000_000, 4_000_000, 5, 0.5, UNSAFE)
 
@@ -74,7 +75,7 @@
 
 
 def test_budget_is_ratio_plus_floor_over_the_window():
-    budget = RetryBudget()
+    budget = RetryBudget(RATIO, FLOOR_PER_S, WINDOW_S)
     for _ in range(50):
         budget.first(0)
     allowed = RATIO * 50 + FLOOR_PER_S * WINDOW_S
@@ -85,7 +86,7 @@
 
 
 def test_one_tenants_failing_burst_leaves_half_of_the_budget():
-    budget = RetryBudget()
+    budget = RetryBudget(RATIO, FLOOR_PER_S, WINDOW_S)
     for _ in range(100):
         budget.first(0)
     greedy = sum(budget.take(0, "greedy", 1.0) for _ in range(100))
@@ -747,3 +748,35 @@
     before = d.b.slowness(server, d.now)
     d.feed(AttemptEnded(quick.request, 0, quick.server, Result.CANCELLED, 100))
     assert d.b.slowness(server, d.now) <= before  # called off at once it tells nothing
+
+
+@pytest.mark.parametrize(("klass", "goes_on"), [("read", True), ("pay", False)])
+def test_what_waits_at_a_server_that_hangs_goes_elsewhere_if_it_may(klass, goes_on):
+    """Wide days: calls stuck at three servers of the last tier filled the limits of both tiers above."""
+    d = Driver(servers=4, cancel=True)
+    d.serve(60)
+    stuck = next(a for a in d.ask(klass) if isinstance(a, api.Send))
+    d.serve(60)
+    off = [a for a in d.of(api.Cancel) if a.request == stuck.request]
+    assert off == ([api.Cancel(stuck.request, 0)] if goes_on else [])
+    if goes_on:
+        d.feed(AttemptEnded(stuck.request, 0, stuck.server, Result.CANCELLED, 1_000_000))
+        d.run_to(d.now + 100_000)
+        again = [a for a in d.of(api.Send) if a.request == stuck.request]
+        assert len(again) == 2 and again[1].server != stuck.server
+        called_off = next(when for when, a in d.actions if isinstance(a, api.Cancel))
+        used = [
+            a.server for when, a in d.actions if isinstance(a, api.Send) and 0 < when - called_off < SECOND
+        ]
+        assert used and stuck.server not in used  # nothing new goes there for a while
+
+
+def test_nothing_is_called_off_while_all_wait_alike():
+    """A tier that has become slow as a whole must not get its calls twice."""
+    d = Driver(servers=4, cancel=True)
+    d.serve(60)
+    for _ in range(8):
+        d.ask()
+    d.run_to(d.now + 2_000_000)
+    d.ask()
+    assert not d.of(api.Cancel)
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -53,6 +53,17 @@
     assert fleet.ends["served"] >= 0.95 * fleet.ends["asked"]
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_calls_at_servers_that_hang_come_back_in_time(seed):
+    fleet = Fleet(16, 28, seed)
+    fleet.load(160, 15)
+    fleet.run(5)
+    for name in ("s0", "s1", "s2"):
+        fleet.servers[name].hangs = True
+    fleet.run(16)
+    assert fleet.ends["served"] >= 0.985 * fleet.ends["asked"]
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_copies_that_ask_together_do_not_keep_discovery_down(seed):
     """It can take one call of every copy in four seconds; all begin at once."""
