Base a cold server's share on what able servers were seen to carry, not on what comes in

Seen in simulated time, 40 copies and 24 servers that all come back cold at once: any server was sent up to 3.3 times what it could do in 3 s at 250 calls a second, 5.8 times at 350; 2.5 pushes it over.

At fault: cold_full's rate of attempts. Balancer.measure now keeps what was answered a second for each server that is able (a cold one counted as little as the settings say it may do) while it was, as a mean over 48 answers and a maximum that fades over a minute; at least one call at a time of all copies together, so a start cannot starve.

--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -39,7 +39,8 @@
 LEAST_EACH = 2.0  # never fewer for each server, by this copy's part
 URGENT = 2.0  # times the usual worth for its time: such a call may overdraw; see Admission.open
 BURST, CREDIT = 4.0, 2  # calls: a limit below that holds on average, over so many seconds; see Admission.open
-COLD_PART, COLD_LOOK = 0.8, SECOND // 20  # of what pushes a cold server over; between looks at all of them
+COLD_PART = 0.8  # of what pushes a cold server over
+CARRIED_OVER, BEST_OVER = 48, 60 * SECOND  # a mean over so many answers; a maximum fades over so long
 QUICK = 6  # draws before a full look
 ENDS_LEFT = 512  # ended calls whose last moments are still kept, before a look whether to clear them out
 LIFO_AFTER, START_EACH, START_MANY = 0.2, 12.0, 3.5  # of the time to the aim; calls a server at the start
@@ -303,7 +304,7 @@
         self.answers = self.reviewed = self.ask_failures = 0
         self.failed_lately, self.resuming = 0.0, False
         self.young: dict[str, Server] = {}  # those that may still be cold
-        self.cold_at, self.cold_share = -COLD_LOOK, 0.0  # attempts a second for a warm server, then
+        self.counted, self.carried, self.best = 0, 0.0, 0.0  # see measure
         self.alarms: list[tuple[int, int, Callable[[int], None]]] = []
         # When calls are given up: plain numbers, as nearly all have ended by then and must not be held on to.
         self.ends: list[tuple[int, int]] = []
@@ -456,6 +457,16 @@
         """The smallest subset at which all copies together still cover every server about evenly."""
         return min(len(self.servers), max(4, math.ceil(COVER * len(self.servers) / self.settings.instances)))
 
+    def measure(self, now: int, since: int) -> None:
+        """What a warm server was seen to carry a second; a cold one counts as little as it may be able to."""
+        self.young = {i: y for i, y in self.young.items() if y.side is not None and self.warmth(y, now) < 1}
+        able = len(self.servers) - sum(1 - self.warmth(y, now) for y in self.young.values())
+        new, self.counted = self.answers - self.counted, self.answers
+        rate = SECOND * new / since / max(able, self.settings.cold_from)
+        self.carried += (rate - self.carried) * (1 - math.exp(-new / CARRIED_OVER))
+        least = SECOND / self.mean / self.settings.instances  # one call at a time, of all copies
+        self.best = max(least, self.carried, self.best * math.exp(-since / BEST_OVER))
+
     def unstick(self, now: int) -> None:
         """Call off what waits at a server that hangs, to go elsewhere: it holds places in all tiers above."""
         may = self.settings.cancel
@@ -472,7 +483,8 @@
         """Now and then, widen the subset when calls pile up or fail, and narrow it when quiet."""
         if now - self.reviewed < SECOND // 2:
             return
-        self.reviewed = now
+        since, self.reviewed = now - self.reviewed, now
+        self.measure(now, since)
         self.unstick(now)
         pressure = self.admission.out / max(1, len(self.subset))
         if (pressure > WIDEN_AT or self.failed_lately > 0.1) and len(self.spare):
@@ -482,8 +494,7 @@
 
     def warmth(self, s: Server, now: int) -> float:
         """The least share of its capacity that a server can have by now."""
-        g = self.settings
-        age = now - s.started
+        g, age = self.settings, now - s.started
         if not s.started or age >= g.warm_up:
             return 1.0
         return g.cold_from + (1 - g.cold_from) * max(0, age) / g.warm_up
@@ -492,13 +503,7 @@
         """Whether it has had this copy's part, by what servers can do, of most that it bears."""
         if (warmth := self.warmth(s, now)) >= 1:
             return False
-        if now - self.cold_at >= COLD_LOOK * (1 + len(self.young) // LOOKS):  # a bounded part of the time
-            young = [y for y in self.young.values() if self.servers.get(y.id) is y]
-            self.young = {y.id: y for y in young if self.warmth(y, now) < 1}
-            able = len(self.servers) - sum(1 - self.warmth(y, now) for y in self.young.values())
-            self.cold_share = self.budget.per_second(now) / max(self.settings.cold_from, able)
-            self.cold_at = now
-        rate = self.cold_share * warmth * max(1.0, COLD_PART * self.settings.fall_multiple)
+        rate = self.best * warmth * max(1.0, COLD_PART * self.settings.fall_multiple)
         if s.tokens_at < 0:
             s.tokens = self.random.random()  # copies that see it at the same time don't all send at once
         else:
@@ -536,7 +541,7 @@
         return busy * (CROSSING if self.home and s.zone != self.home else 1), (s.last_sent - now) * s.size
 
     def slowness(self, s: Server, now: int) -> float:
-        """Its latest latencies, which fade, or half of how long a call is out, as a multiple of the tier's."""
+        """Its latest latencies, which fade, or half of how long a call is out, by the tier's mean."""
         pace = 0.9 + (s.slowness - 0.9) * math.exp((s.paced - now) / (8 * SECOND))
         oldest = next(iter(s.out.values()), None)
         return pace if oldest is None else max(pace, (now - oldest.sent) / (2 * self.mean))
@@ -701,8 +706,8 @@
         failed = result != Result.OK
         self.failed_lately += 0.05 * (failed - self.failed_lately)
         # A server that turns calls away, or takes no more connections while it answers, is full, not sick:
-        # it gets no more than it had, and a little more with each answer.  If it had none it rests: others fill
-        # it, or it is stuck, and as it answers at once and has no call out it would be chosen time and again.
+        # it gets no more than it had, and a little more with each answer.  If it had none it rests: it is
+        # full of others' calls, or stuck, and answering at once it looks idle and would be chosen ever again.
         crowded = result == Result.CONNECT_FAILED and server.out and now - server.answered < SECOND
         before = server.ejected_until
         if result == Result.FULL or crowded:
--- a/oakbridge/policy/retry_budget.py
+++ b/oakbridge/policy/retry_budget.py
@@ -52,8 +52,3 @@
         tenants[tenant] = tenants.get(tenant, 0) + cost
         self.by_tenant[tenant] = held + cost
         return True
-
-    def per_second(self, now: int) -> float:
-        """Attempts a second in the window."""
-        self._slot(now)
-        return (self.firsts + self.retries) / max(1.0, now / SECOND - self.slots[0][0])
--- a/oakbridge/policy/view.py
+++ b/oakbridge/policy/view.py
@@ -55,6 +55,13 @@
     )  # fmt: skip
 
 
+def _per_second(b: Balancer, now: int) -> float:
+    """Attempts a second in the budget's window."""
+    budget = b.budget
+    budget.left(now)  # lets go of what is older
+    return (budget.firsts + budget.retries) / max(1.0, now / 1e6 - budget.slots[0][0])
+
+
 def view(b: Balancer, now: int, most: int = 200) -> BalancerView:
     """The state now, with the rows of at most so many servers: those with most to tell first."""
     subset = {s.id for s in b.subset}
@@ -71,7 +78,7 @@
         waiting=b.admission.waiting,
         open_requests=len(b.calls),
         retries_left=round(b.budget.left(now), 2),
-        attempts_per_s=round(b.budget.per_second(now), 1),
+        attempts_per_s=round(_per_second(b, now), 1),
         fail_rate=round(b.failed_lately, 4),
         rows=sorted((_row(b, s, subset, now) for s in shown), key=lambda r: r.name),
     )
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -40,6 +40,19 @@
     assert fleet.ends["served"] >= 0.97 * fleet.ends["asked"]
 
 
+@pytest.mark.parametrize(("copies", "load"), [(40, 250), (7, 250), (40, 350), (7, 350)])
+def test_a_tier_that_comes_back_cold_as_a_whole_is_not_pushed_over(copies, load):
+    """Its shares must follow from what servers were seen to carry, not from what comes in: that stays the same."""
+    fleet = Fleet(copies, 24, seed=5)
+    fleet.load(load, 25)
+    fleet.run(4)
+    for i in range(24):
+        fleet.replace(f"s{i}", f"new{i}", told_after=0)
+    fleet.run(24)
+    assert 0.5 < fleet.most_over_cold() < fleet.settings.fall_multiple
+    assert fleet.ends["served"] >= 0.65 * fleet.ends["asked"]
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_stuck_server_that_says_full_is_not_asked_time_and_again(seed):
     """It answers at once and has no call out, so it looks idle to every copy."""
