--- a/oakbridge/node/trace.py
+++ b/oakbridge/node/trace.py
@@ -38,12 +38,13 @@
         self._wrap_pool()
         if isinstance(node.source, Discovery):
             self._wrap_discovery(node.source)
-        settings = node.settings
-        log.info("%s%s", MARK, json.dumps(
-            {"start": node.config.name, "at": node.clock.now(), **asdict(settings)}
-        ))  # fmt: skip
+        self._write({"start": node.config.name, "at": node.clock.now(), **asdict(node.settings)})
         self._again()
 
+    @staticmethod
+    def _write(line: dict[str, Any]) -> None:
+        log.info("%s%s", MARK, json.dumps(line, separators=(",", ":")))
+
     def _wrap_module(self) -> None:
         handle, counts = self.node.balancer.handle, self.counts
 
@@ -66,11 +67,12 @@
         self.node.balancer.handle = counted  # type: ignore[method-assign]
 
     def _sent(self, action: api.Send, now: int) -> None:
+        """The call may be over, or the server gone, by the same event: counting must not depend on either."""
         balancer = self.node.balancer
-        call, server = balancer.calls[action.request], balancer.known[action.server]
+        call, server = balancer.calls.get(action.request), balancer.known.get(action.server)
         self.counts["sent"] += 1
-        self.counts["again"] += len(call.attempts) > 1
-        if server.started and balancer.warmth(server, now) < 1:
+        self.counts["again"] += call is not None and len(call.attempts) > 1
+        if server is not None and balancer.warmth(server, now) < 1:
             self.counts["cold"] += 1
             self.ends.setdefault(server.id, Counter())["cold"] += 1
 
@@ -110,7 +112,7 @@
 
     def _again(self) -> None:
         now, spent = self.node.clock.now(), time.process_time()
-        log.info("%s%s", MARK, json.dumps(self._line(now, spent - self._processor), separators=(",", ":")))
+        self._write(self._line(now, spent - self._processor))
         self.counts.clear()
         self.ends.clear()
         self._processor = spent
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -452,6 +452,7 @@
         """Keep nothing of a server that is gone, once no call is out to it: ids are ever new."""
         if server.gone and not server.out:
             self.known.pop(server.id, None)
+            self.young.pop(server.id, None)
 
     def least(self) -> int:
         """The smallest subset at which all copies together still cover every server about evenly."""
@@ -469,12 +470,12 @@
 
     def unstick(self, now: int) -> None:
         """Call off what waits at a server that hangs, to go elsewhere: it holds places in all tiers above."""
-        may = self.settings.cancel
-        for call in [c for c in self.calls.values() if may and c.out and c.klass.repeat != UNSAFE]:
+        left = self.budget.left(now) if self.settings.cancel else 0.0
+        for call in [c for c in self.calls.values() if c.out and c.klass.repeat != UNSAFE and left >= 1]:
             attempt = call.attempts[-1]
             late = not attempt.off and now - attempt.sent > HANG_MEANS * self.mean
-            if late and self.hangs(attempt.server, now) and self.budget.left(now) >= 1:
-                attempt.off = True
+            if late and left >= 1 and self.hangs(attempt.server, now):
+                attempt.off, left = True, left - 1
                 self.health.rest(attempt.server, now)
                 self.members.judged(attempt.server, now)
                 self.actions.append(api.Cancel(call.id, len(call.attempts) - 1))
@@ -493,11 +494,11 @@
             self.members.move(self.subset.draw(self.random, True), self.spare, now)
 
     def warmth(self, s: Server, now: int) -> float:
-        """The least share of its capacity that a server can have by now."""
+        """The least share of its capacity that a server can have by now, also if its start is ahead of us."""
         g, age = self.settings, now - s.started
         if not s.started or age >= g.warm_up:
             return 1.0
-        return g.cold_from + (1 - g.cold_from) * max(0, age) / g.warm_up
+        return g.cold_from + (1 - g.cold_from) * max(0, age) / max(1, g.warm_up)
 
     def cold_full(self, s: Server, now: int) -> bool:
         """Whether it has had this copy's part, by what servers can do, of most that it bears."""
@@ -636,8 +637,7 @@
 
     def send(self, call: Call, now: int) -> bool:
         """Start an attempt at the less busy of two, if servers may have it."""
-        pair = self.pick(call, now)
-        if not pair:
+        if not (pair := self.pick(call, now)):
             return False
         self.start(call, min(pair, key=lambda s: self.load(s, now)), now)
         return True
@@ -662,7 +662,6 @@
 
     def on_ended(self, now: int, event: api.AttemptEnded) -> None:
         """An attempt has ended: learn from it, then finish, retry or give up."""
-        self.review(now)
         server = self.known.get(event.server)
         key = event.request, event.attempt
         attempt = server.out.get(key) if server else None
@@ -684,6 +683,7 @@
             elif not call.out:
                 call.failures += 1
                 self.retry(call, now)
+        self.review(now)
         self.dispatch(now)
 
     def free(self, server: Server, key: tuple[int, int], now: int) -> None:
@@ -696,9 +696,10 @@
     def learn(self, server: Server, event: api.AttemptEnded, now: int) -> None:
         """Take an outcome into health, latencies and the limit."""
         result, call = event.result, self.calls.get(event.request)
+        seen = self.latency[call.klass.name] if call else None
         if result in (Result.OK, Result.TIMEOUT, Result.CANCELLED):
-            usual = self.latency[call.klass.name].mean if call else self.mean
-            pace, latest = self.slowness(server, now), min(event.latency / usual, 6.0)
+            latest = min(event.latency / (seen.mean if seen else self.mean), 6.0)
+            pace = self.slowness(server, now)
             if result == Result.OK or latest > pace:  # what was called off would have taken longer
                 server.slowness, server.paced = pace + 0.25 * (latest - pace), now
         if result in (Result.CANCELLED, Result.NOT_SENT):
@@ -722,8 +723,7 @@
         if result == Result.OK:
             self.answers, server.answered = self.answers + 1, now
             server.cap += 0.5 / server.cap
-        if call is not None:
-            seen = self.latency[call.klass.name]
+        if call and seen:
             if result == Result.OK:
                 seen.note(event.latency)
                 self.mean = sum(x.mean for x in self.latency.values()) / len(self.latency)
@@ -774,9 +774,9 @@
             elif not self.place(call, now):
                 return
         if self.admission.waiting and not self.resuming and not self.admission.out:
-            self.resuming, limit = True, self.admission.limit  # one below the burst holds the next call back
-            pause = SECOND * max(0.0, -self.admission.credit) / limit if limit > 0 else SECOND
-            self.alarm(now, pause, self.resume)
+            overdrawn, limit = max(0.0, -self.admission.credit), self.admission.limit
+            self.resuming = True
+            self.alarm(now, SECOND * (overdrawn / limit if limit > 0 else 1), self.resume)
 
     def resume(self, now: int) -> None:
         """The limit lets a call out again though no answer came."""
