--- a/tests/policy/fleet.py
+++ b/tests/policy/fleet.py
@@ -187,6 +187,16 @@
                 worst = max(worst, count / (server.workers * warmth * window / WORK))
         return worst
 
+    def ejected(self) -> float:
+        """The part of the healthy servers that a copy holds for ejected now, on average."""
+        sick = {name for name, server in self.servers.items() if server.hangs}
+        views = [s for b in self.copies for s in b.servers.values() if s.id not in sick]
+        return sum(s.ejected_until > self.now for s in views) / len(views)
+
+    def connections(self) -> list[int]:
+        """What the copies hold at each listed server, in rising order."""
+        return sorted(sum(self.servers[name].holders.values()) for name in self.copies[0].servers)
+
     # ---- discovery
 
     def watch(self, copy: int) -> None:
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -457,6 +457,15 @@
     assert d.b.safety.may_send(call, None, d.now) is allowed
 
 
+@pytest.mark.parametrize(("part", "well"), [(0.2, True), (0.4, True), (0.8, False)])
+def test_calls_may_take_a_good_part_of_the_aim_before_the_limit_falls(part, well):
+    """Days of replaced servers: two in five were turned away at 0.95 s a call, where 2.5 s are in time."""
+    d = Driver(servers=4)
+    d.serve(40)
+    d.serve(100, latency=int(part * READ.aim))
+    assert (d.b.admission.slower <= 1) is well
+
+
 def test_the_limit_shrinks_and_grows_with_the_list():
     """Incident i2a22b9: most of a tier was taken away, and the rest got what all had carried."""
     d = Driver(servers=12)
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -57,6 +57,9 @@
     assert fleet.ends["served"] >= served * fleet.ends["asked"]
     assert fleet.ends["asked"] == sum(n for how, n in fleet.ends.items() if how != "asked")  # one end each
     assert cold <= fleet.most_over_cold() < fleet.settings.fall_multiple
+    assert fleet.ejected() < 0.02
+    held = fleet.connections()
+    assert held[-1] < 4 * sum(held) / len(held)  # subsets that are drawn alone crowd no server
     stuck = [name for name, s in fleet.servers.items() if s.connections < 1000]
     assert all(0 < fleet.results[name, "FULL"] < 0.04 * fleet.ends["asked"] for name in stuck)
 
