--- a/tests/policy/fleet.py
+++ b/tests/policy/fleet.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import random
+from bisect import bisect_left
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
@@ -182,7 +183,7 @@
             for i, first in enumerate(server.sent):
                 if not server.started or self.warmth(server, first) >= 1:
                     break
-                count = sum(1 for t in server.sent[i:] if t < first + window)
+                count = bisect_left(server.sent, first + window) - i
                 warmth = (self.warmth(server, first) + self.warmth(server, first + window)) / 2
                 worst = max(worst, count / (server.workers * warmth * window / WORK))
         return worst
