Operators' calls, servers held out, drains, and settings that change in a running node

The part: an address of its own for operators (one line, one answer), a server taken out and put back, a node emptied and joined again, and the whole settings read at SIGHUP. The way not taken: calls as paths under /-/ on the callers' port, as a full house of callers would hold them up, and they would be open to whoever calls.

Seen: the untouched program had no such address, went on accepting after a drain, and told at SIGHUP that new settings count from the next start. - node/outages.py (pure) stands between every list and the module: a server held out is listed as draining whatever discovery says. One put back counts as started at that moment until a list tells of a newer start: it may have been restarted just now, and one taken for warm would be pushed over. The module puts it back into the subset. - node/lifecycle.py (pure): serving, lame duck, ending, handed over. It replaces the flags of Server.leave; a drain clears after the changeover of 0.5 s and can be taken back. - SettingsChanged: the module goes by new settings from the next event on; each call holds the class that it came with.

--- a/oakbridge/__main__.py
+++ b/oakbridge/__main__.py
@@ -7,6 +7,8 @@
 import os
 import signal
 import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from oakbridge.node.config import load
 from oakbridge.node.listing import ConfigError
@@ -26,7 +28,26 @@
 
 def reload(node: Node) -> None:
     """Read the configuration anew; one that can't be used raises, and the old one stays."""
-    node.reload(load(os.environ, again=True))
+    node.reload(load(os.environ, node.config))
+
+
+@asynccontextmanager
+async def beside(node: Node) -> AsyncIterator[None]:
+    """What lives as long as the node: the operators' address, where there is one; else none of it is imported."""
+    if node.config.control is None:
+        yield
+        return
+    from oakbridge.operators.calls import answer
+    from oakbridge.operators.desk import NodeDesk
+    from oakbridge.operators.listener import Listener
+
+    desk = NodeDesk(node)
+    listener = Listener(asyncio.get_running_loop(), node.config.control, lambda line: answer(desk, line))
+    listener.start()
+    try:
+        yield
+    finally:
+        listener.close()
 
 
 def start_log(level: int = logging.INFO) -> None:
@@ -43,7 +64,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens to it: it ends no node
     start_log()
     try:
-        asyncio.run(serve(build, reload))
+        asyncio.run(serve(build, reload, beside))
     except ConfigError as e:
         print(f"oakbridge: {e}", file=sys.stderr)
         return 2
--- a/oakbridge/node/config.py
+++ b/oakbridge/node/config.py
@@ -5,12 +5,12 @@
 import json
 import resource
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from oakbridge.node.listing import Address, ConfigError, Raw, parse_address
-from oakbridge.node.settings import read_settings
+from oakbridge.node.settings import missing_key, read_settings
 from oakbridge.policy import vocabulary as api
 
 DEFAULT_SOCKETS = 1024
@@ -28,6 +28,9 @@
     known: Raw | None  # the list of servers as this node last had it, in discovery's form
     settings: api.Settings
     also_listen: tuple[Address, ...] = ()  # where the deployment allows it
+    control: Address | None = None  # where operators call; none: they can't
+    memory_mb: int = 0  # what the node may use; 0: not told
+    raw: Raw = field(default_factory=dict, compare=False)  # the file as it was read, but for the list
 
 
 def _object(value: Any, what: str) -> Raw:
@@ -63,6 +66,10 @@
         raise ConfigError(f"{variable}: {e}") from None
 
 
+def _control(environment: Mapping[str, str], raw: Raw) -> bool:
+    return bool(environment.get("NODE_CONTROL") or raw.get("control"))
+
+
 def _sockets(raw: Raw) -> int:
     limit = _object(raw.get("limits") or {}, "limits").get("sockets", DEFAULT_SOCKETS)
     if isinstance(limit, bool) or not isinstance(limit, int) or limit < 128:
@@ -71,16 +78,27 @@
     return limit if soft == resource.RLIM_INFINITY else min(limit, soft)
 
 
-def load(environment: Mapping[str, str], again: bool = False) -> Config:
+def _memory(raw: Raw) -> int:
+    limit = _object(raw.get("limits") or {}, "limits").get("memory_mb", 0)
+    if isinstance(limit, bool) or not isinstance(limit, int | float) or not 0 <= limit < 1e9:
+        raise ConfigError(f"limits.memory_mb: expected a number of megabytes, got {limit!r:.80}")
+    return int(limit)
+
+
+def load(environment: Mapping[str, str], before: Config | None = None) -> Config:
     """The node's configuration; variables go before the file's own values.
 
-    Read ``again``, the file is newer than the variables, which a running process can't be told anew: then the
-    address of discovery in it goes first.
+    Read again, the file is newer than the variables, which a running process can't be told anew: then the address of
+    discovery in it goes first.  A file that lacks a key which the one ``before`` had was cut or is half edited, and is
+    not used: a setting that is missing would silently become its default.
     """
     path = environment.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG: missing, expected the path of the configuration")
     raw = _read(path)
+    if before is not None and (lost := missing_key(before.raw, raw)):
+        raise ConfigError(f"NODE_CONFIG: {path}: {lost}: missing, expected it as in the file before")
+    again = before is not None
     try:
         settings = read_settings(raw.get("settings"))
     except api.SettingsError as e:
@@ -94,4 +112,7 @@
         sockets=_sockets(raw),
         known=None if known is None else _object(known, "known"),
         settings=settings,
+        control=_address(environment, raw, "control") if _control(environment, raw) else None,
+        memory_mb=_memory(raw),
+        raw={name: value for name, value in raw.items() if name != "known"},
     )
--- a/oakbridge/node/downstream.py
+++ b/oakbridge/node/downstream.py
@@ -13,6 +13,7 @@
 import httptools
 
 from oakbridge.node.clock import Clock, Timer
+from oakbridge.node.lifecycle import Lifecycle, Phase
 from oakbridge.node.listing import Address
 from oakbridge.node.upstream import MAX_BODY, MAX_HEAD, Headers, framing_fault
 
@@ -32,13 +33,6 @@
 IDLE_MOST = 15_000_000  # how long a connection may rest between requests while there is room
 IDLE_LEAST = 2_100_000  # and where there is none; it may not be closed before 2 s
 GRACE = 20_000  # how long a caller that was accepted may say nothing before it makes room for another
-CHANGEOVER = 500_000  # new connections go on coming for 0.2 to 0.4 s after SIGTERM
-# Callers go on using the connections that they have: for all but so much of the time until the end these are
-# kept and served, or those callers would have nowhere to go while another node is restarted as well.
-CLEARING = 600_000
-# SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
-LONGEST = 3_000_000
-LAST_ANSWER = 600_000
 
 # Between two hops only; what is said about this hop's framing is said anew on the next.
 HOP = frozenset({
@@ -284,7 +278,11 @@
         self.current = None
         refused = 400 <= status < 500 and status != 429
         last = (
-            refused or self.excess or not request.keep_alive or self.server.clearing or self.server.crowded()
+            refused
+            or self.excess
+            or not request.keep_alive
+            or self.server.clearing()
+            or self.server.crowded()
         )
         close = last and not (self.pending and request.keep_alive)
         self._write(status, headers, body, close)
@@ -434,8 +432,7 @@
     ) -> None:
         """``addresses``: where to listen; none if connections are handed in (:meth:`admit`)."""
         self.loop, self.clock, self.taker, self.most = loop, clock, taker, most
-        self.leaving = self.clearing = False
-        self.last_answer: int | None = None  # when all that was taken has to be answered, once that is known
+        self.life = Lifecycle()
         self.soon: Callable[[Callable[[], None]], object] = loop.call_soon
         self._callers: set[Caller] = set()
         self.awaited = Ages(clock, PATIENCE, Caller.expire)
@@ -443,7 +440,8 @@
         self.buffer = memoryview(bytearray(READ))
         self._again: Timer | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._accepting = self._changing = False
+        self._accepting = False
+        self._step: Timer | None = None  # the next of the life's steps
         self._ended: asyncio.Future[None] | None = None
         self._socks: list[socket.socket] = []
         try:
@@ -471,7 +469,7 @@
 
     def start(self) -> None:
         """Accept."""
-        if not self._accepting and self._socks:
+        if not self._accepting and self._socks and self.life.open(self.clock.now()):
             self._accepting = True
             for sock in self._socks:
                 self.loop.add_reader(sock, self._accept, sock)
@@ -573,7 +571,7 @@
         """Answer what is the node's own or can't be read; hand on the rest, with the time it has left."""
         caller = request.caller
         if request.url.split(b"?", 1)[0] == READY:
-            ready = self.taker.serving() and not self.leaving
+            ready = self.taker.serving() and self.life.ready
             return caller.answer(request, 200 if ready else 503, [], b"ready\n" if ready else b"not ready\n")
         timeout = request.named.get(b"x-timeout")
         left = None if timeout is None else parse_timeout(timeout)
@@ -590,50 +588,67 @@
         if caller.excess:
             return caller.answer(request, 503, [], b"")
         request.time_left = left
-        if self.last_answer is not None:
-            request.due_by = self.last_answer
+        request.due_by = self.life.last_answer
         try:
             self.taker.take(request)
         except Exception:  # contained: this request has failed, the others go on
             log.exception("a request failed")
             caller.answer(request, 500, [], b"")
 
-    # ---- the end
+    # ---- drains and the end
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the process ends."""
+        return self.life.phase == Phase.ENDING
+
+    def clearing(self) -> bool:
+        """Whether an answer is the last on its connection."""
+        return self.life.clears_at is not None and self.life.clearing(self.clock.now())
+
+    def drain(self) -> bool:
+        """Empty the node as a lame duck; False if that changes nothing."""
+        changed = self.life.drain(self.clock.now())
+        self._follow()
+        return changed
+
+    def join(self) -> bool:
+        """Take a drain back; False if that changes nothing."""
+        changed = self.life.join(self.clock.now())
+        self._follow()
+        return changed
 
     async def leave(self, longest: int) -> None:
         """Accept through the changeover, serve who is there for a while, and return when all is answered."""
-        self.leaving = self._changing = True
         self._ended = self.loop.create_future()
-        now, longest = self.clock.now(), min(longest, LONGEST)
-        self.last_answer = now + longest + LAST_ANSWER
-        timers = [
-            self.clock.call_at(now + CHANGEOVER, self._end_changeover),
-            self.clock.call_at(now + max(longest - CLEARING, CHANGEOVER), self._clear),
-            self.clock.call_at(self.last_answer, self._give_up),
-        ]
+        self.life.end(self.clock.now(), longest)
+        self._follow()
         await self._ended
-        for timer in timers:
-            timer.cancel()
 
-    def _end_changeover(self) -> None:
-        """Take the last that wait outside, then close the door."""
-        for sock in self._socks:
-            self._accept(sock)
-        self._stop()
-        self._close_door()
-        self._changing = False
-        self._check_end()
-
-    def _clear(self) -> None:
-        """Close what is between requests; from now on an answer is the last on its connection."""
-        self.clearing = True
-        for caller in [*self.idle.since, *self.awaited.since]:
-            if caller.resting():
-                caller.close()
+    def _follow(self) -> None:
+        """Do what the life's phase asks for now, and look again when its next step is due."""
+        if self._step is not None:
+            self._step.cancel()
+            self._step = None
+        now = self.clock.now()
+        if self.life.phase == Phase.ENDING and self._socks and not self.life.open(now):
+            for sock in self._socks:
+                self._accept(sock)  # the last that wait outside
+            self._stop()
+            self._close_door()
+        if self.life.clearing(now):
+            for caller in [*self.idle.since, *self.awaited.since]:
+                if caller.resting():
+                    caller.close()
+        if self.life.last_answer is not None and now >= self.life.last_answer:
+            self._give_up()
         self._check_end()
+        step = self.life.next_step(now)
+        if step is not None and (self._ended is None or not self._ended.done()):
+            self._step = self.clock.call_at(step, self._follow)
 
     def _check_end(self) -> None:
-        if self._ended is not None and not self._changing and not self._callers:
+        if self._ended is not None and not self._socks and not self._callers:
             self._give_up()
 
     def _give_up(self) -> None:
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -8,6 +8,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from itertools import islice
 from typing import Protocol
 
@@ -16,6 +17,8 @@
 from oakbridge.node.discovery import Discovery
 from oakbridge.node.downstream import HOP, Request, Server
 from oakbridge.node.listing import BadList, ConfigError, Entry, Listing, Source, parse, pieces
+from oakbridge.node.outages import Outages
+from oakbridge.node.settings import in_place
 from oakbridge.node.upstream import Attempt, Pool, Reply
 from oakbridge.policy import vocabulary as api
 from oakbridge.policy.balancer import Balancer
@@ -98,7 +101,10 @@
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._loop = loop
-        self._listed: dict[str, Entry] = {}  # all servers that are listed, draining ones among them
+        self._listed: dict[
+            str, Entry
+        ] = {}  # all servers that are listed, draining ones among them, as they are listed
+        self.outages = Outages()  # and those that operators hold out
         self._pieces: deque[Listing] = deque()  # of a long list, that are still to be taken
         upstream = int((config.sockets - RESERVE) * UPSTREAM_PART)
         self.pool = Pool(
@@ -136,15 +142,37 @@
         self.server.start()
 
     def reload(self, config: Config) -> None:
-        """Take a new configuration over while serving: discovery's address; what else changed has to wait."""
+        """Take a new configuration over while serving: discovery's address and the settings, whole.
+
+        What is under way keeps what it began with; what can't change in a running process is named in the log.
+        """
         old, self.config = self.config, config
         if config.discovery is not None and config.discovery != old.discovery:
             log.info("discovery is now at %s:%d", *config.discovery)
             if isinstance(self.source, Discovery):
                 self.source.move(config.discovery)
-        for name in ("name", "listen", "sockets", "settings"):
-            if getattr(config, name) != getattr(old, name):
-                log.warning("the configuration's new %s counts from the next start", name)
+        waiting = [
+            n for n in ("name", "listen", "sockets", "control") if getattr(config, n) != getattr(old, n)
+        ]
+        settings, kept = in_place(self.settings, config.settings)
+        for name in (*waiting, *(f"settings.{n}" for n in kept)):
+            log.warning("the configuration's new %s counts from the next start", name)
+        if settings != self.settings:
+            self._change(settings)
+
+    def _change(self, settings: api.Settings) -> None:
+        """Decide by these settings from now on."""
+        before, now = set(self.classes), {c.name for c in settings.classes}
+        log.info(
+            "new settings: %d classes (new: %s; gone: %s), at most %d attempts", len(now),
+            ", ".join(sorted(now - before)) or "none", ", ".join(sorted(before - now)) or "none",
+            settings.max_attempts,
+        )  # fmt: skip
+        self.settings = settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.tenants = {t.name for t in settings.tenants}
+        self.pool.retune(settings.connect_timeout, settings.connection_idle or NEVER_CLOSE_IDLE)
+        self.post(api.SettingsChanged(settings))
 
     async def leave(self) -> None:
         """End as a planned restart asks for: answer what was taken, take nothing after the changeover."""
@@ -212,6 +240,9 @@
         due = request.taken + (deadline if request.time_left is None else request.time_left)
         if request.due_by is not None:
             due = min(due, request.due_by - ENDING_MARGIN)
+        if not self.pool.listed and self.outages.out():  # nobody is left to wait for
+            soon = [(b"retry-after", b"1")] if self.settings.max_retry_after else []
+            return request.caller.answer(request, 503, soon, b"")
         if self.settings.max_open and len(self.requests) >= self.settings.max_open:
             return request.caller.answer(request, 503, [], b"")  # as on the simulator: the module sees none
         request.id = next(self.ids)
@@ -264,17 +295,42 @@
         self._pieces.extend([listing] if saved else pieces(listing, self._listed))
         self._next_piece(saved)
 
+    def take_out(self, name: str) -> bool | None:
+        """Hold a server out for operators, from this call on; False if it was out, None if there is none such."""
+        if name not in self._listed and not self.outages.holds(name):
+            return None
+        taken = self.outages.take_out(name, self.clock.now())
+        if taken:
+            self._relist(name)
+        return taken
+
+    def put_back(self, name: str) -> bool | None:
+        """Use a server again that operators held out; False if it was not out, None if there is none such."""
+        now = self.clock.now()
+        self.outages.forget_older(now - self.settings.warm_up)
+        if self.outages.put_back(name, now):
+            self._relist(name, back=True)
+            return True
+        return False if name in self._listed else None
+
+    def _relist(self, name: str, back: bool = False) -> None:
+        """Have the module and the pool see one server as it counts now."""
+        while self._pieces:
+            self._take_piece()
+        if (entry := self._listed.get(name)) is None:
+            return  # it is not listed: whenever it is again, it counts as it does then
+        self._pieces.append(Listing(0, False, [entry]))
+        self._take_piece(back=back)
+
     def _next_piece(self, saved: bool = False) -> None:
         if self._pieces:
             self._take_piece(saved)
         if self._pieces:
             self._loop.call_soon(self._next_piece)
 
-    def _take_piece(self, saved: bool = False) -> None:
+    def _take_piece(self, saved: bool = False, back: bool = False) -> None:
         """No connection that is given out after this leads elsewhere."""
         piece = self._pieces.popleft()
-        for front in self.fronts:
-            front.listed(piece)
         if piece.whole:
             self._listed.clear()
         for entry in piece.entries:
@@ -282,9 +338,11 @@
                 self._listed.pop(entry.server.id, None)
             else:
                 self._listed[entry.server.id] = entry
-        event = api.ServerList(
-            [e.server for e in piece.entries], whole=piece.whole, saved=saved, more=bool(self._pieces)
-        )
+        piece = replace(piece, entries=self.outages.apply_all(piece.entries))
+        for front in self.fronts:
+            front.listed(piece)
+        servers = [e.server for e in piece.entries]
+        event = api.ServerList(servers, piece.whole, saved=saved, more=bool(self._pieces), back=back)
         # The module hears of the list before it hears of attempts that the list has ended.
         self._events.append(event)
         handling, self._handling = self._handling, True
@@ -343,7 +401,7 @@
     def add_front(self, front: Front) -> None:
         """Have another front on the same module; it hears of the servers that are listed now."""
         self.fronts.append(front)
-        front.listed(Listing(0, True, list(self._listed.values())))
+        front.listed(Listing(0, True, self.outages.apply_all(self._listed.values())))
 
     def _send(self, action: api.Send) -> None:
         request = self.requests.get(action.request)
--- a/oakbridge/node/settings.py
+++ b/oakbridge/node/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 from typing import Any
 
 from oakbridge.policy import vocabulary as api
@@ -62,6 +63,49 @@
     return choices[name]
 
 
+# Keys that a file may leave out at any time; all others stay once they were there.
+MAY_GO = frozenset({
+    "known", "seed", "peers", "peers_all", "peer_listen", "control", "settings.extra.passes-deadline",
+    "settings.extra.warm-keys", "settings.classes.aim-stretch", "settings.prices.fleet",
+})  # fmt: skip
+
+
+def missing_key(before: Any, now: Any, where: str = "") -> str:
+    """The first key that a file had before and lacks now, by its dotted path, or an empty text.
+
+    Entries of a list count by what all of its entries had before: they come and go, but each is whole.
+    """
+    if isinstance(before, dict):
+        if not isinstance(now, dict):
+            return where if before else ""
+        for name, value in before.items():
+            path = f"{where}.{name}" if where else name
+            if path in MAY_GO:
+                continue
+            if name not in now:
+                return path
+            if lost := missing_key(value, now[name], path):
+                return lost
+    elif isinstance(before, list) and isinstance(now, list) and all(isinstance(e, dict) for e in before):
+        shared = set.intersection(*(set(e) for e in before)) if before else set()
+        for i, entry in enumerate(now):
+            have = set(entry) if isinstance(entry, dict) else set()
+            if lacking := sorted(n for n in shared - have if f"{where}.{n}" not in MAY_GO):
+                return f"{where}[{i}].{lacking[0]}"
+    return ""
+
+
+# What a running copy can't change: where it stands, and what its servers' records and its window are made for.
+FIXED = ("me", "tier", "tiers", "zone", "zones", "tick", "must_ask", "size_source", "retry_window",
+         "one_version")  # fmt: skip
+
+
+def in_place(old: api.Settings, new: api.Settings) -> tuple[api.Settings, list[str]]:
+    """The new settings as far as a running copy can change, and the names of those that have to wait."""
+    kept = {name: getattr(old, name) for name in FIXED if getattr(old, name) != getattr(new, name)}
+    return replace(new, **kept), list(kept)
+
+
 def read_settings(raw: Any) -> api.Settings:
     """The wire's settings as the module's; unknown keys are passed over."""
     if not isinstance(raw, dict):
--- a/oakbridge/node/upstream.py
+++ b/oakbridge/node/upstream.py
@@ -352,6 +352,10 @@
         self.count = 0
         self._sweep: Timer | None = None
 
+    def retune(self, connect_timeout: int, idle: int) -> None:
+        """Go by other settings from now on."""
+        self.connect_timeout, self.idle_for = connect_timeout, idle - idle // IDLE_PART
+
     def take(self, listing: Listing) -> None:
         """Take the servers that may be sent to; connections to any other, or to an earlier start, go."""
         if listing.whole:
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -1,7 +1,4 @@
-"""All decisions of the balancer.  Its settings, events and actions are in ``vocabulary.py``.
-
-One :class:`Balancer` serves one outbound copy: the node in front of the first tier, or the copy inside a
-server that calls the next tier.  It is told the time and what happened, and answers with actions.
+"""All decisions of one outbound copy; its settings, events and actions are in ``vocabulary.py``.
 
 The ordinary path: a request goes at once to the less busy of two members of an adaptive subset, by own calls
 in flight; what fails is retried after a growing random delay while the windowed retry budget allows it, and
@@ -78,8 +75,7 @@
     """The one place that says whether a send or a refusal is allowed (rules 1 and 2)."""
 
     def __init__(self, settings: api.Settings) -> None:
-        self.most, self.copies, self.tick = settings.max_attempts, settings.second_copies, settings.tick
-        self.one_version = settings.one_version
+        self.settings = settings
         self.oldest = 0.0  # the version since which some server has been listed without a break
 
     @staticmethod
@@ -91,9 +87,9 @@
         """Whether one more attempt is allowed: at that server, or at any if None."""
         if not call.attempts:
             return True
-        if len(call.attempts) >= self.most or (call.out and not self.copies):
+        if len(call.attempts) >= self.settings.max_attempts or (call.out and not self.settings.second_copies):
             return False
-        if self.one_version and call.version < (server.joined if server else self.oldest):
+        if self.settings.one_version and call.version < (server.joined if server else self.oldest):
             return False  # not on the list that this call keeps to, or not without a break since
         if call.klass.repeat == SAFE:
             return True
@@ -101,7 +97,7 @@
         if not ran or call.klass.repeat != KEYED:
             return not ran
         # Keyed: inside the group that drops repeats, and only while it still remembers the first one.
-        margin = 4 * self.tick + call.klass.repeat_window // 20
+        margin = 4 * self.settings.tick + call.klass.repeat_window // 20
         in_time = now < ran[0].sent + call.klass.repeat_window - margin
         return in_time and (server is None or server.same_group(ran[0].where, call.klass.group))
 
@@ -169,7 +165,6 @@
     """How many calls this copy may have out, and which of those that wait goes next."""
 
     def __init__(self, settings: api.Settings) -> None:
-        self.settings = settings
         self.limit = self.least = 0.0
         self.credit, self.counted, self.out = 0.1, 0, 0  # see open
         self.seen = self.served = self.since = self.waiting = 0
@@ -181,10 +176,14 @@
         self.gain = 1 + max(GAIN_LEAST, GAIN / (settings.tiers - settings.tier))
         self.flow = 0.0  # calls out that would carry the highest rate seen at the least latency seen
         self.held: dict[tuple[str, str, bool], deque[Call]] = {}
-        self.gap = {
-            t.name: SECOND * settings.instances / t.quota_per_s for t in settings.tenants if t.quota_per_s
-        }
-        self.due = dict.fromkeys(self.gap, 0.0)
+        self.due: dict[str, float] = {}
+        self.tune(settings)
+
+    def tune(self, settings: api.Settings) -> None:
+        """Go by these settings from now on."""
+        self.settings, every = settings, SECOND * settings.instances
+        self.gap = {t.name: every / t.quota_per_s for t in settings.tenants if t.quota_per_s}
+        self.due = {name: self.due.get(name, 0.0) for name in self.gap}
 
     def within_share(self, tenant: str, now: int) -> bool:
         """Whether the tenant stays inside its share, as far as this copy's part of the traffic tells."""
@@ -227,9 +226,8 @@
     def open(self, now: int, value: float) -> bool:
         """Whether a call of this value may go out.
 
-        Hundreds of copies with a call or less each would together fill servers if each could always have one
-        out; so such a limit holds on average over some seconds, and short bursts may pass it.  Calls of
-        twice the usual value may overdraw: a copy with few calls has no queue in which they could come first.
+        Hundreds of copies with a call each would fill servers if each could always have one out, so a small
+        limit holds on average.  Valuable calls may overdraw: with few calls no queue puts them first.
         """
         self.count(0, now)
         enough = self.credit > (-self.limit if value >= URGENT else 0)
@@ -280,24 +278,21 @@
     """The decisions of one outbound copy: ``handle`` takes what happened and says what to do."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings = settings
         self.random = random.Random(seed)
-        self.classes = {c.name: c for c in settings.classes}
-        self.all_unsafe = all(c.repeat == UNSAFE for c in settings.classes)
         self.safety = RepeatSafety(settings)
         self.budget = RetryBudget(settings.retry_ratio, settings.retry_floor, settings.retry_window)
         self.health = Health()
         self.admission = Admission(settings)
         # Inner tiers leave time for their callers, also when calls carry no time left.
         self.time_share = 1 - settings.tier / (2 * settings.tiers)
-        self.latency = {c.name: Latency(c.aim / 5 * self.time_share) for c in settings.classes}
-        self.mean = sum(x.mean for x in self.latency.values()) / len(self.latency)  # over classes
+        self.latency: dict[str, Latency] = {}
         self.home = settings.zone if settings.prices.cross_zone > 0 and len(settings.zones) > 1 else ""
         self.members = Membership(self.home)
         self.servers = self.members.servers  # those that may be sent to
         self.known: dict[str, Server] = {}  # those, and any that drain or have calls out
         self.subset, self.spare = self.members.subset, self.members.spare
         self.calls: dict[int, Call] = {}
+        self.tune(settings)
         self.version = 0  # of the list: one more with each that is taken
         self.in_pieces, self.before = False, 0  # servers before the first piece; see ServerList.more
         self.upcoming: list[str] = []
@@ -314,11 +309,22 @@
         self.handlers: dict[type, Callable[[int, Any], None]] = {
             api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.TimerFired: self.on_timer,
             api.ClientGone: self.on_gone, api.StreamStarted: self.on_gone, api.ServerList: self.on_list,
-            api.Upcoming: self.on_upcoming,
+            api.Upcoming: self.on_upcoming, api.SettingsChanged: lambda _, event: self.tune(event.settings),
         }  # fmt: skip
         self.must_ask = settings.must_ask
         self.sized = settings.size_source in (api.NOMINAL, api.ROUGH)  # a live size echoes what copies did
 
+    def tune(self, settings: api.Settings) -> None:
+        """Go by these settings from now on; a call keeps the class that it came with."""
+        self.settings = self.safety.settings = settings
+        self.admission.tune(settings)
+        self.budget.ratio, self.budget.floor = settings.retry_ratio, settings.retry_floor * self.budget.window
+        self.classes = {c.name: c for c in settings.classes}
+        self.all_unsafe = all(c.repeat == UNSAFE for c in settings.classes)
+        counted = {call.klass.name: call.klass for call in self.calls.values()} | self.classes
+        seen = {n: self.latency.get(n) or Latency(c.aim / 5 * self.time_share) for n, c in counted.items()}
+        self.latency, self.mean = seen, sum(x.mean for x in seen.values()) / len(seen)  # over classes
+
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event; returns the actions to carry out now, in order."""
         if self.must_ask:
@@ -384,7 +390,7 @@
                 dropped.append(server)
             elif entry.id not in self.servers:
                 server.joined = self.version
-                self.members.add(server, now)
+                self.members.add(server, now, self.subset if event.back else self.spare)
         if event.whole:
             listed = {entry.id for entry in event.servers}
             for server in [s for s in self.known.values() if s.id not in listed]:
@@ -534,9 +540,7 @@
             own += self.health.score(s, now) - SCORE_LOW
         if s.started:
             own /= self.warmth(s, now)
-        # Few own calls tell little: for a while a slow server's calls weigh more.
-        # Its last report is old and noisy: a correction that fades.  Crossing needs a busy neighbour.
-        if s.queued:
+        if s.queued:  # its last report is old and noisy: a correction that fades
             own += REPORT_TRUST * s.queued * max(0.0, 1 - (now - s.reported) / (2 * SECOND))
         busy = (own + s.size) / s.size * self.slowness(s, now)
         return busy * (CROSSING if self.home and s.zone != self.home else 1), (s.last_sent - now) * s.size
@@ -571,7 +575,7 @@
         if confined and (ran := self.safety.may_have_run(call)):
             group = self.members.group(ran[0].where, call.klass.group)
             found = list(group.values()) if len(group) <= LOOKS else None
-        if found is None and self.safety.one_version and call.version < self.version:
+        if found is None and self.settings.one_version and call.version < self.version:
             found = self.members.since(call.version)
         return found if found is not None and len(found) <= LOOKS else None
 
--- a/oakbridge/policy/membership.py
+++ b/oakbridge/policy/membership.py
@@ -1,10 +1,8 @@
 """The servers that a copy may send to, arranged so that no decision's cost grows with their number.
 
-Members are in the subset or spare; each side keeps those that may be drawn apart from those that are
-ejected, and those of the own zone apart from the rest.  A draw is weighted by size; what is drawn for one
-request is drawn without replacement.  A side of few members is looked at in full; of a large one a bounded
-number is drawn, and then a bounded part of a ring is looked through, which goes on where it stopped: so in
-turn every member has its look.  Settings, events and actions are in ``vocabulary.py``.
+Members are in the subset or spare; each side keeps the ejected apart, and those of the own zone.  A draw is
+weighted by size.  A side of few is looked at in full; of a large one a bounded number is drawn, then a part
+of a ring is looked through, which goes on where it stopped: each has its turn.
 """
 
 from __future__ import annotations
@@ -225,11 +223,11 @@
         self.benched: list[tuple[int, int, Server]] = []  # the ejected, by when they come back
         self.benchings = 0
 
-    def add(self, s: Server, now: int) -> None:
-        """List a server, as a spare one."""
+    def add(self, s: Server, now: int, side: Side) -> None:
+        """List a server, on that side."""
         self.servers[s.id] = s
         self._index(s)
-        self._enter(s, self.spare, now)
+        self._enter(s, side, now)
 
     def remove(self, s: Server) -> None:
         """List a server no more."""
--- a/oakbridge/policy/retry_budget.py
+++ b/oakbridge/policy/retry_budget.py
@@ -8,10 +8,7 @@
 
 
 class RetryBudget:
-    """Retries in a sliding window stay under ratio x first attempts + floor; tenants share what it allows.
-
-    Every copy of every tier has the floor (a second), so it must stay far below a copy's traffic.
-    """
+    """Retries in a sliding window stay under ratio x first attempts + floor; tenants share what it allows."""
 
     def __init__(self, ratio: float, floor: float, window: int) -> None:
         self.ratio, self.floor, self.window = ratio, floor * window, window
--- a/oakbridge/policy/vocabulary.py
+++ b/oakbridge/policy/vocabulary.py
@@ -223,6 +223,14 @@
     lost: bool = False
     saved: bool = False  # the list as it was before this instance started, maybe old
     more: bool = False  # changes of which further pieces follow: all of them are one version of the list
+    back: bool = False  # servers that operators had taken out and use again
+
+
+@dataclass(slots=True)
+class SettingsChanged:
+    """Other settings count from now on; a request under way keeps its class as it was."""
+
+    settings: Settings
 
 
 @dataclass(slots=True)
@@ -301,6 +309,7 @@
 
 Event = (
     ServerList
+    | SettingsChanged
     | Upcoming
     | Request
     | StreamStarted
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -434,8 +434,8 @@
 
 def test_end_fails_what_is_still_out_and_closes_late_silent_callers(monkeypatch):
     """Guards against SIGKILL finding a request unanswered, and against waiting for silent callers."""
-    monkeypatch.setattr("oakbridge.node.downstream.LONGEST", 500_000)
-    monkeypatch.setattr("oakbridge.node.downstream.CHANGEOVER", 100_000)
+    monkeypatch.setattr("oakbridge.node.lifecycle.LONGEST", 500_000)
+    monkeypatch.setattr("oakbridge.node.lifecycle.CHANGEOVER", 100_000)
 
     async def scenario():
         async with Peer(lambda _: None) as peer, Running(peer) as node:
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -40,7 +40,7 @@
         else:
             s = self.model[str(name)] = Server(entry, size)
             s.joined = self.version
-            self.m.add(s, self.now)
+            self.m.add(s, self.now, self.m.spare)
         self.version += 1
 
     @precondition(lambda self: self.model)
