Replace a running process by one started beside it, with its sockets, state and callers

The ways not taken: SO_REUSEPORT alone (a listener that closes resets what waits in its own queue, and kept connections would have to be closed under clients; it stays for a first process that is frozen), and a supervisor that holds the socket (a second process for good, on 32 MB nodes).

Seen on the untouched program: the second process ended with "can't listen: Address in use". Checked: ten replacements under eight callers, each request one answer at the callers, no unsafe one twice at the servers; either process killed, the old one frozen, a second that can't start, a broken file, a stale name, a folder too long for a Unix address. Retries left are split, a cold server's part goes to the new process whole (tests/handover).

--- a/oakbridge/__main__.py
+++ b/oakbridge/__main__.py
@@ -7,18 +7,25 @@
 import os
 import signal
 import sys
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 
-from oakbridge.node.config import load
+from oakbridge.node.config import called, load
 from oakbridge.node.listing import ConfigError
 from oakbridge.node.node import Node
 from oakbridge.node.run import serve
 
 
+def reload(node: Node) -> None:
+    """Read the configuration anew; one that can't be used raises, and the old one stays."""
+    node.reload(load(os.environ, node.config))
+
+
 async def build(loop: asyncio.AbstractEventLoop) -> Node:
     """The node that the environment tells of."""
-    node = Node(load(os.environ), loop)
+    return traced(Node(load(os.environ), loop))
+
+
+def traced(node: Node) -> Node:
+    """The node, with its counts where they are asked for."""
     if os.environ.get("OAKBRIDGE_TRACE"):
         from oakbridge.node.trace import Trace
 
@@ -26,28 +33,18 @@
     return node
 
 
-def reload(node: Node) -> None:
-    """Read the configuration anew; one that can't be used raises, and the old one stays."""
-    node.reload(load(os.environ, node.config))
+async def run() -> None:
+    """Serve until told to end, with operators' calls where there is an address for them; else none is imported."""
+    if not called(os.environ):
+        return await serve(build, reload)
+    from oakbridge.operators.service import Service
 
+    service = Service(os.environ)
 
-@asynccontextmanager
-async def beside(node: Node) -> AsyncIterator[None]:
-    """What lives as long as the node: the operators' address, where there is one; else none of it is imported."""
-    if node.config.control is None:
-        yield
-        return
-    from oakbridge.operators.calls import answer
-    from oakbridge.operators.desk import NodeDesk
-    from oakbridge.operators.listener import Listener
+    async def built(loop: asyncio.AbstractEventLoop) -> Node:
+        return traced(await service.build(loop))
 
-    desk = NodeDesk(node)
-    listener = Listener(asyncio.get_running_loop(), node.config.control, lambda line: answer(desk, line))
-    listener.start()
-    try:
-        yield
-    finally:
-        listener.close()
+    await serve(built, reload, service.beside)
 
 
 def start_log(level: int = logging.INFO) -> None:
@@ -64,7 +61,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens to it: it ends no node
     start_log()
     try:
-        asyncio.run(serve(build, reload, beside))
+        asyncio.run(run())
     except ConfigError as e:
         print(f"oakbridge: {e}", file=sys.stderr)
         return 2
--- a/oakbridge/node/config.py
+++ b/oakbridge/node/config.py
@@ -98,7 +98,19 @@
     raw = _read(path)
     if before is not None and (lost := missing_key(before.raw, raw)):
         raise ConfigError(f"NODE_CONFIG: {path}: {lost}: missing, expected it as in the file before")
-    again = before is not None
+    return made(environment, raw, before is not None)
+
+
+def called(environment: Mapping[str, str]) -> bool:
+    """Whether operators have an address to call; also where the file can't be read, if the variable says so."""
+    try:
+        return _control(environment, _read(environment.get("NODE_CONFIG", "")))
+    except ConfigError:
+        return bool(environment.get("NODE_CONTROL"))
+
+
+def made(environment: Mapping[str, str], raw: Raw, again: bool = False) -> Config:
+    """The configuration that a file's object makes; ``again``: read while the process runs."""
     try:
         settings = read_settings(raw.get("settings"))
     except api.SettingsError as e:
--- a/oakbridge/node/downstream.py
+++ b/oakbridge/node/downstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import re
 import socket
 from collections import deque
@@ -32,6 +33,7 @@
 PATIENCE = 2_000_000
 IDLE_MOST = 15_000_000  # how long a connection may rest between requests while there is room
 IDLE_LEAST = 2_100_000  # and where there is none; it may not be closed before 2 s
+MOVE_AGAIN_S = 0.01  # a caller that is still being written to is looked at again before it moves on
 GRACE = 20_000  # how long a caller that was accepted may say nothing before it makes room for another
 
 # Between two hops only; what is said about this hop's framing is said anew on the next.
@@ -294,6 +296,8 @@
             self._proceed()
         elif not self.unfinished():
             self.server.idle.add(self)
+            if self.server.send_on is not None:
+                self.server.soon(self.move)
 
     def _write(self, status: int, headers: Headers, body: bytes, close: bool) -> None:
         if self.transport is None or self.ending:
@@ -316,6 +320,25 @@
         self.server.awaited.remove(self)
         self.server.awaited.add(self)
 
+    def move(self) -> None:
+        """Send this connection on to the process that took over, if it rests and all that was written is out.
+
+        What the caller has sent meanwhile is unread, and goes along.
+        """
+        transport, send_on = self.transport, self.server.send_on
+        if send_on is None or transport is None or self.ending or not self.resting():
+            return
+        if transport.get_write_buffer_size():
+            self.server.loop.call_later(MOVE_AGAIN_S, self.move)
+            return
+        transport.pause_reading()
+        fd = os.dup(transport.get_extra_info("socket").fileno())
+        if send_on(fd):
+            self.abort()  # this process's own descriptor: the connection goes on
+        else:
+            os.close(fd)
+            transport.resume_reading()
+
     def unfinished(self) -> bool:
         """Whether a request has begun and is not whole."""
         return self.begun or self.fed > 0
@@ -406,11 +429,13 @@
             self.timer.cancel()
 
 
-def listen_on(address: Address) -> socket.socket:
-    """A door that is open.  Raises OSError with the address in its text."""
+def listen_on(address: Address, shared: bool = False) -> socket.socket:
+    """A door that is open; ``shared``: others may listen there too.  Raises OSError with the address in its text."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind(address)
         sock.listen(BACKLOG)
     except OSError as e:
@@ -429,8 +454,15 @@
         taker: Taker,
         addresses: Sequence[Address],
         most: int,
+        doors: Sequence[socket.socket] = (),
+        shared: bool = False,
     ) -> None:
-        """``addresses``: where to listen; none if connections are handed in (:meth:`admit`)."""
+        """``addresses``: where to listen; none if connections are handed in (:meth:`admit`).
+
+        ``doors``: sockets that listen there already, from another process; ``shared``: a further one may listen.
+        """
+        # Set while another process takes over: sends a caller's connection on; False if that process is gone.
+        self.send_on: Callable[[int], bool] | None = None
         self.loop, self.clock, self.taker, self.most = loop, clock, taker, most
         self.life = Lifecycle()
         self.soon: Callable[[Callable[[], None]], object] = loop.call_soon
@@ -445,8 +477,9 @@
         self._ended: asyncio.Future[None] | None = None
         self._socks: list[socket.socket] = []
         try:
-            for address in addresses:
-                self._socks.append(listen_on(address))
+            self._socks = [*doors]
+            for address in () if doors else addresses:
+                self._socks.append(listen_on(address, shared))
         except OSError:
             self._close_door()
             raise
@@ -564,7 +597,7 @@
         """A connection has ended."""
         self._remove(caller)
         if len(self._callers) < self.most + TURNED_AWAY and not self._ended and self._again is None:
-            self.start()
+            self.start()  # where it has to accept
         self._check_end()
 
     def handle(self, request: Request) -> None:
@@ -618,6 +651,27 @@
         self._follow()
         return changed
 
+    def doors(self) -> list[int]:
+        """Copies of the listening sockets' descriptors, for the process that takes over."""
+        return [os.dup(sock.fileno()) for sock in self._socks]
+
+    def hand_over(self, send_on: Callable[[int], bool]) -> None:
+        """Accept nothing more: another process does, at the same sockets."""
+        self.life.hand_over()
+        self._stop()
+        self.send_on = send_on
+
+    def move_all(self) -> None:
+        """Send on the callers that rest; the others follow once they do."""
+        for caller in list(self._callers):
+            caller.move()
+
+    def take_back(self) -> None:
+        """The process that took over is gone: accept again."""
+        self.send_on = None
+        self.life.take_back()
+        self.start()
+
     async def leave(self, longest: int) -> None:
         """Accept through the changeover, serve who is there for a while, and return when all is answered."""
         self._ended = self.loop.create_future()
--- a/oakbridge/node/listing.py
+++ b/oakbridge/node/listing.py
@@ -138,6 +138,18 @@
     return Entry(listed, address)
 
 
+def as_raw(index: int, entries: Iterable[Entry]) -> Raw:
+    """Entries in discovery's form."""
+    states = {state: name for name, state in _STATE.items()}
+    endpoints = [
+        {"name": e.server.id, "address": f"{e.address[0]}:{e.address[1]}", "zone": e.server.zone,
+         "group": e.server.cell, "status": states[e.server.state], "weight": e.server.size,
+         "since_ms": e.server.started / 1000}
+        for e in entries
+    ]  # fmt: skip
+    return {"index": index, "snapshot": True, "endpoints": endpoints}
+
+
 def parse(raw: Any) -> Listing:
     """An answer, or the configuration's ``known``, checked as a whole: half a list is no list."""
     if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -6,8 +6,9 @@
 import itertools
 import logging
 import math
+import socket
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 from itertools import islice
 from typing import Protocol
@@ -86,8 +87,15 @@
         loop: asyncio.AbstractEventLoop,
         source: Callable[[Clock], Source] | None = None,
         door: bool = True,
+        doors: Sequence[socket.socket] = (),
+        shared: bool = False,
+        outages: Outages | None = None,
     ) -> None:
-        """``source``: where the list comes from, if it is not discovery; ``door``: whether it listens itself."""
+        """``source``: where the list comes from, if it is not discovery; ``door``: whether it listens itself.
+
+        ``doors``: listening sockets that another process of this node had; ``shared``: a further process may listen;
+        ``outages``: what operators hold out from before.
+        """
         settings = config.settings
         self.settings, self.clock, self.config = settings, Clock(loop), config
         self.balancer = Balancer(settings, config.seed)
@@ -104,7 +112,7 @@
         self._listed: dict[
             str, Entry
         ] = {}  # all servers that are listed, draining ones among them, as they are listed
-        self.outages = Outages()  # and those that operators hold out
+        self.outages = outages or Outages()  # and those that operators hold out
         self._pieces: deque[Listing] = deque()  # of a long list, that are still to be taken
         upstream = int((config.sockets - RESERVE) * UPSTREAM_PART)
         self.pool = Pool(
@@ -118,7 +126,8 @@
         else:
             raise ConfigError("discovery: missing, and there is no other source of servers")
         addresses = (config.listen, *config.also_listen) if door else ()
-        self.server = Server(loop, self.clock, self, addresses, config.sockets - RESERVE - upstream)
+        callers = config.sockets - RESERVE - upstream
+        self.server = Server(loop, self.clock, self, addresses, callers, doors, shared)
         self.source.tell(self)
         if source is None:
             self._start_from(config)
@@ -136,6 +145,18 @@
             raise ConfigError(f"known: {e}") from None
         self.listed(known, saved=True)
 
+    def share(self, held: int) -> None:
+        """Leave so many descriptors to the node's other process."""
+        free = self.config.sockets - RESERVE - held
+        self.pool.most = int(free * UPSTREAM_PART)
+        self.server.most = max(1, free - self.pool.most)
+
+    def listed_now(self) -> list[Entry]:
+        """All servers that are listed, as they are listed."""
+        while self._pieces:
+            self._take_piece()
+        return list(self._listed.values())
+
     def start(self) -> None:
         """Serve."""
         self.source.start()
--- a/oakbridge/node/upstream.py
+++ b/oakbridge/node/upstream.py
@@ -392,6 +392,11 @@
                 connection.give_up()
                 attempt.end(Reply(Result.CONNECT_FAILED))
 
+    def close_idle(self) -> None:
+        """Give back all connections that rest."""
+        for target in self.targets.values():
+            self._close_idle(target)
+
     @staticmethod
     def _close_idle(target: Target) -> None:
         for connection in list(target.idle):
--- a/oakbridge/operators/desk.py
+++ b/oakbridge/operators/desk.py
@@ -11,9 +11,10 @@
 class NodeDesk:
     """Carries calls out on this process's node, and tells whoever shares it of what has changed."""
 
-    def __init__(self, node: Node, changed: Callable[[str, str], None] | None = None) -> None:
+    def __init__(self, node: Node, started: bool = False) -> None:
         """``changed``: told the word and the id of each call that holds for the whole node."""
-        self.node, self.changed = node, changed
+        self.node, self.started = node, started
+        self.changed: Callable[[str, str], None] | None = None
 
     def _tell(self, word: str, server: str = "") -> None:
         if self.changed is not None:
@@ -22,6 +23,8 @@
     def health(self) -> str:
         """Whether this process can serve; a lame duck can, and so can one whose servers are all held out."""
         node = self.node
+        if not self.started:
+            raise Refused("this process does not serve yet")
         if not node.serving() and not node.outages.out():
             raise Refused("no server is known yet")
         out = node.outages.out()
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -297,7 +297,7 @@
         self.in_pieces, self.before = False, 0  # servers before the first piece; see ServerList.more
         self.upcoming: list[str] = []
         self.answers = self.reviewed = self.ask_failures = 0
-        self.failed_lately, self.resuming = 0.0, False
+        self.failed_lately, self.resuming, self.retired = 0.0, False, False
         self.young: dict[str, Server] = {}  # those that may still be cold
         self.counted, self.carried, self.best = 0, 0.0, 0.0  # see measure
         self.alarms: list[tuple[int, int, Callable[[int], None]]] = []
@@ -508,8 +508,9 @@
 
     def cold_full(self, s: Server, now: int) -> bool:
         """Whether it has had this copy's part, by what servers can do, of most that it bears."""
-        if (warmth := self.warmth(s, now)) >= 1:
-            return False
+        warmth = self.warmth(s, now)
+        if warmth >= 1 or self.retired:  # retired: the copy that took over has this one's part
+            return warmth < 1
         rate = self.best * warmth * max(1.0, COLD_PART * self.settings.fall_multiple)
         if s.tokens_at < 0:
             s.tokens = self.random.random()  # copies that see it at the same time don't all send at once
--- /dev/null
+++ b/tests/handover/processes.py
@@ -0,0 +1,127 @@
+"""Real processes of one node, started beside one another, with servers and discovery in the test's own process."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+from peers import SETTINGS, Caller, Peer, Registry, endpoint, free_ports, listing, soon
+
+ROOT = Path(__file__).parents[2]
+
+
+class Site:
+    """A node's configuration, and the processes that were started by it."""
+
+    def __init__(self, folder: Path, *peers: Peer, **settings) -> None:
+        self.folder, self.peers, self.settings = folder, peers, SETTINGS | {"discovery": "pushed"} | settings
+        self.port, *self.controls = free_ports(14)
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.logs: list[list[bytes]] = []
+        self.readers: list[asyncio.Task] = []
+
+    async def __aenter__(self) -> "Site":
+        self.registry = await Registry().__aenter__()
+        self.listed = [endpoint(f"s-{i}", p.port) for i, p in enumerate(self.peers)]
+        self.write()
+        return self
+
+    def write(self, text: str | None = None, **changes) -> None:
+        raw = {
+            "name": "n3", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.registry.port}",
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "known": listing(1, *self.listed), "settings": self.settings,
+        }  # fmt: skip
+        (self.folder / "c.json").write_text(json.dumps(raw | changes) if text is None else text)
+
+    async def __aexit__(self, *_) -> None:
+        for process in self.processes:
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            await process.wait()
+        await asyncio.gather(*self.readers)
+        await self.registry.__aexit__()
+
+    async def start(self) -> asyncio.subprocess.Process:
+        """Start one more process, and wait for nothing."""
+        environment = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")} | {
+            "NODE_CONFIG": str(self.folder / "c.json"), "TMPDIR": str(self.folder), "NODE_NAME": "n3",
+            "NODE_CONTROL": f"127.0.0.1:{self.controls[len(self.processes)]}",
+        }  # fmt: skip
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "oakbridge", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE
+        )
+        self.processes.append(process)
+        self.logs.append([])
+        self.readers.append(asyncio.ensure_future(self._read(process, self.logs[-1])))
+        return process
+
+    @staticmethod
+    async def _read(process, lines) -> None:
+        while line := await process.stderr.readline():
+            lines.append(line)
+
+    def log(self, number: int = -1) -> str:
+        return b"".join(self.logs[number]).decode()
+
+    async def call(self, line: str, number: int = -1) -> str:
+        """An operator's call to a process; empty if it does not listen."""
+        controls = self.controls[: len(self.processes)]
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", controls[number])
+            writer.write(line.encode() + b"\n")
+            said = await soon(reader.read())
+            writer.close()
+        except ConnectionError:
+            return ""
+        return said.decode()
+
+    async def started(self) -> asyncio.subprocess.Process:
+        """Start one more process, and wait for its yes."""
+        process = await self.start()
+        while not (await self.call("HEALTH")).startswith("YES"):
+            assert process.returncode is None, self.log()
+            await asyncio.sleep(0.01)
+        return process
+
+    async def caller(self) -> Caller:
+        return await Caller.connect(self.port)
+
+
+class Load:
+    """Callers with kept connections, and some that open a new one each time; each request has one answer."""
+
+    def __init__(self, site: Site, kept: int = 6, fresh: int = 2, **request) -> None:
+        self.site, self.request = site, request
+        self.counts = {"sent": 0, "answered": 0, "closed": 0}
+        self.statuses: list[int] = []
+        self.stop = asyncio.Event()
+        self.tasks = [asyncio.ensure_future(self._one(i < kept)) for i in range(kept + fresh)]
+
+    async def _one(self, keep: bool) -> None:
+        caller = None
+        while not self.stop.is_set():
+            caller = caller or await self.site.caller()
+            self.counts["sent"] += 1
+            caller.send(**self.request)
+            try:
+                status, headers, _ = await caller.answer()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                self.counts["closed"] += 1
+                caller = None
+                continue
+            self.counts["answered"] += 1
+            self.statuses.append(status)
+            if not keep or headers.get("connection") == "close":
+                caller.close()
+                caller = None
+            await asyncio.sleep(0.002)
+        if caller is not None:
+            caller.close()
+
+    async def end(self) -> None:
+        self.stop.set()
+        await asyncio.gather(*self.tasks)
--- /dev/null
+++ b/tests/handover/test_state.py
@@ -0,0 +1,92 @@
+"""What one copy learned the next one goes on with; what may be spent is spent once."""
+
+import json
+
+import pytest
+from test_balancer import PAY, READ, Driver
+
+from oakbridge.policy import state
+from oakbridge.policy.vocabulary import ListedServer, Send
+
+ENTRIES = [ListedServer(f"s{i}", place=f"p{i}") for i in range(6)]
+
+
+def pair(**options) -> tuple[Driver, Driver]:
+    options = {"classes": (READ, PAY), "entries": ENTRIES} | options
+    return Driver(**options), Driver(seed=9, **options)
+
+
+def over(old: Driver, new: Driver) -> None:
+    new.run_to(old.now)
+    state.restore(new.b, json.loads(json.dumps(state.save(old.b, old.now))), new.now)
+
+
+def test_health_latency_limits_and_the_subset_go_along():
+    old, new = pair(instances=3)
+    old.serve(120, latency=30_000, fails=("s1",))
+    over(old, new)
+    assert new.b.known["s1"].score == old.b.known["s1"].score
+    assert new.b.known["s1"].ejected_until == old.b.known["s1"].ejected_until
+    assert new.b.members.ejected() == old.b.members.ejected()
+    assert {s.id for s in new.b.subset} == {s.id for s in old.b.subset}
+    assert new.b.latency["read"].mean == old.b.latency["read"].mean
+    assert new.b.admission.limit == old.b.admission.limit
+    assert new.b.health.rate == old.b.health.rate
+
+
+def test_retries_left_are_shared_not_doubled():
+    old, new = pair()
+    old.serve(200)
+    left = old.b.budget.left(old.now)
+    over(old, new)
+    both = old.b.budget.left(old.now) + new.b.budget.left(new.now)
+    assert left > 5
+    assert both == pytest.approx(left, rel=0.01)
+
+
+def test_a_cold_servers_part_goes_to_the_next_copy_whole():
+    """Guards the rule on cold servers: two processes of one node are one copy."""
+    start = 50_000_000
+    cold = [*ENTRIES[:5], ListedServer("s5", place="p5", started=start)]
+    old, new = pair(entries=cold, cold_from=0.2, warm_up=20_000_000, instances=2)
+    for d in (old, new):
+        d.run_to(start)
+    old.serve(300, gap=10_000)
+    assert "s5" in [a.server for a in old.of(Send)]
+    over(old, new)
+    before = len([a for a in old.of(Send) if a.server == "s5"])
+    old.serve(300, gap=10_000)
+    assert len([a for a in old.of(Send) if a.server == "s5"]) == before
+    assert new.b.known["s5"].tokens_at > 0
+
+
+def test_a_server_that_restarted_since_starts_with_a_clean_record():
+    old, _ = pair()
+    old.serve(120, fails=("s1",))
+    new = Driver(entries=[ListedServer("s1", place="p1", started=7), *ENTRIES[2:]], classes=(READ, PAY))
+    over(old, new)
+    assert new.b.known["s1"].score < old.b.known["s1"].score
+    assert new.ask()
+
+
+@pytest.mark.parametrize("part", ["servers", "latency", "admission", "copy", "slots", "rate", "due"])
+def test_what_can_not_be_used_changes_nothing(part):
+    old, new = pair()
+    old.serve(50)
+    saved = state.save(old.b, old.now)
+    before = state.save(new.b, new.now)
+    broken = saved | {part: {"s1": ["x"], "read": ["x"]} if isinstance(saved[part], dict) else "x"}
+    if part == "due":
+        broken.pop("due")
+    with pytest.raises((KeyError, TypeError, ValueError)):
+        state.restore(new.b, broken, new.now)
+    assert state.save(new.b, new.now)["servers"] == before["servers"]
+    assert new.b.latency["read"].count == 0
+
+
+def test_one_that_is_back_alone_uses_cold_servers_again():
+    old, _ = pair()
+    state.save(old.b, old.now)
+    old.b.retired = False
+    old.serve(10)
+    assert old.of(Send)
--- a/tests/operators/test_site.py
+++ b/tests/operators/test_site.py
@@ -23,7 +23,7 @@
         self.node = node
 
     async def __aenter__(self) -> "Desk":
-        desk = NodeDesk(self.node)
+        desk = NodeDesk(self.node, started=True)
         loop = asyncio.get_running_loop()
         self.listener = Listener(loop, ("127.0.0.1", 0), lambda line: answer(desk, line))
         self.listener.start()
