Count what the old process still has out within the new one's limit, and its descriptors

Tiers behind it idled: ruled out. At fault: Taker._serve began with nothing out while the old process still had its share, and node.share took descriptors away by a count that was never told again, while the callers in it had moved (24 requests ended at the door, 94 found no connection).

Now the old process says every 20 ms what it still has (message "still"), and the module counts that (Elsewhere); it goes to zero when the channel ends. The way not taken: a limit cut in two for both, as the old one needs all of its own for a second and nothing after it.

--- a/oakbridge/handover/keeper.py
+++ b/oakbridge/handover/keeper.py
@@ -13,14 +13,16 @@
 
 from oakbridge.handover import machine
 from oakbridge.handover.channel import Channel, connect, listen
-from oakbridge.handover.message import CALL, CALLER, OVER, WELCOME, Message
+from oakbridge.handover.message import CALL, CALLER, OVER, STILL, WELCOME, Message
 from oakbridge.node.discovery import Discovery
 from oakbridge.node.listing import as_raw
 from oakbridge.node.node import Node
 from oakbridge.policy import state
+from oakbridge.policy.vocabulary import Elsewhere
 
 log = logging.getLogger(__name__)
 
+REPORT_S = 0.02  # between two words of what the old process still has
 ANSWER_S = 1.0  # for the other process to answer: one that takes longer is frozen, and is done without
 
 Calls = Callable[[str, str], None]  # an operator's word and the id it names
@@ -127,11 +129,20 @@
         node.server.hand_over(self._send)
         node.pool.close_idle()
         learned = state.save(node.balancer, node.clock.now())
-        held = node.server.callers() + node.pool.count
-        self._say(Message(OVER, {"learned": learned, "held": held}))
+        self._say(Message(OVER, {"learned": learned}))
         log.info("handed over; %d callers move on as they rest", node.server.callers())
+        self._report(())
         node.server.move_all()
 
+    def _report(self, before: tuple[int, ...]) -> None:
+        """Now and then say what this process still has: until it ends, the limits are for both together."""
+        if self.channel is None or self.machine.state != machine.Old.OVER:
+            return
+        still = self.node.balancer.admission.out, self.node.server.callers() + self.node.pool.count
+        if still != before:
+            self._say(Message(STILL, {"out": still[0], "held": still[1]}))
+        self.loop.call_later(REPORT_S, self._report, still)
+
     def _send(self, fd: int) -> bool:
         """Send a caller's connection along."""
         return self._say(Message(CALLER), (fd,))
@@ -228,6 +239,8 @@
                 self.welcome = step.welcome
             elif isinstance(step, machine.Serve):
                 self._serve(step)
+            elif isinstance(step, machine.Share):
+                self._share(step.out, step.held)
             elif isinstance(step, machine.Apply):
                 if self.apply is None:
                     self._early.append((step.word, step.server))
@@ -236,10 +249,14 @@
             elif isinstance(step, machine.Part) and self.channel is not None:
                 channel, self.channel = self.channel, None
                 channel.close()
-                if self.node is not None:
-                    self.node.share(0)
+                self._share(0, 0)
         self._step.set()
 
+    def _share(self, out: int, held: int) -> None:
+        if self.node is not None:
+            self.node.share(held)
+            self.node.post(Elsewhere(out))
+
     def _serve(self, step: machine.Serve) -> None:
         node = self.node
         assert node is not None
@@ -250,7 +267,6 @@
                 log.warning("what the other process learned can't be used: %s", e)
             if node.settings.must_ask:
                 node.source.watch(True)
-            node.share(step.held)
             log.info("taken over")
         for sock in self._callers:
             node.server.admit(sock)
--- a/oakbridge/handover/machine.py
+++ b/oakbridge/handover/machine.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import Any
 
-from oakbridge.handover.message import CALL, DECLINE, HELLO, OVER, READY, WELCOME, Message
+from oakbridge.handover.message import CALL, DECLINE, HELLO, OVER, READY, STILL, WELCOME, Message
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +44,6 @@
     """Serve from now on, with what the other process learned or nothing."""
 
     learned: dict[str, Any] | None
-    held: int = 0  # descriptors that the other process still holds
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +59,15 @@
     """Have nothing more to do with the other process."""
 
 
-Step = Say | HandOver | TakeBack | Build | Serve | Apply | Part
+@dataclass(frozen=True, slots=True)
+class Share:
+    """Leave to the other process what it still has: calls out, and descriptors."""
+
+    out: int
+    held: int
+
+
+Step = Share | Say | HandOver | TakeBack | Build | Serve | Apply | Part
 
 
 class Old(Enum):
@@ -140,7 +147,9 @@
             return [Build(message.says)]
         if message.kind == OVER and self.state == New.WAITING:
             self.state = New.SERVING
-            return [Serve(message.says["learned"], message.says["held"])]
+            return [Serve(message.says["learned"])]
+        if message.kind == STILL and self.state == New.SERVING:
+            return [Share(message.says["out"], message.says["held"])]
         if message.kind == CALL and self.state != New.ASKING:
             return [Apply(message.says["word"], message.says["server"])]
         return self.lost()
--- a/oakbridge/handover/message.py
+++ b/oakbridge/handover/message.py
@@ -20,8 +20,9 @@
 READY = "ready"  # new to old: can serve from now on
 OVER = "over"  # old to new: accepts nothing more; what the module learned
 CALL = "call"  # either way: an operator's call that holds in both
+STILL = "still"  # old to new: what it still has: calls out, and descriptors
 CALLER = "caller"  # old to new: a caller's connection that rests
-KINDS = frozenset({HELLO, WELCOME, DECLINE, READY, OVER, CALL, CALLER})
+KINDS = frozenset({HELLO, WELCOME, DECLINE, READY, OVER, CALL, STILL, CALLER})
 
 
 class BadMessage(ValueError):
@@ -80,7 +81,8 @@
         raise BadMessage(f"expected a kind of message that is known, got {kind!r:.40}")
     expected: dict[str, dict[str, type]] = {
         HELLO: {"name": str}, DECLINE: {"why": str}, CALL: {"word": str, "server": str},
-        WELCOME: {"file": dict, "known": dict, "outages": dict, "draining": bool}, OVER: {"learned": dict, "held": int},
+        WELCOME: {"file": dict, "known": dict, "outages": dict, "draining": bool}, OVER: {"learned": dict},
+        STILL: {"out": int, "held": int},
     }  # fmt: skip
     for name, kind_of in expected.get(kind, {}).items():
         if not isinstance(raw.get(name), kind_of):
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -21,14 +21,12 @@
 
 GOLDEN = 0.618  # multiples of it spread evenly: advice to clients
 UNSEEN_COST = 0.2  # of a retry, after an attempt that is known not to have run: it did no work
-# Retries wait aim / BACKOFF_SHARE, doubled for each earlier failure, times a random 0.5 to 1.5.
-BACKOFF_SHARE = 100
+BACKOFF_SHARE = 100  # retries wait aim / this, doubled for each earlier failure, times a random 0.5 to 1.5
 BAD_RATE, OK_RATE = 0.7, 0.01
 SCORE_EJECT, SCORE_HIGH = 2.5, 5.0
 EJECT_MOST, EJECT_SHARE = 16 * SECOND, 0.34  # never more than that share of the tier
 HANG_MEANS = 4.0  # a call out for so many mean latencies, while newer ones elsewhere were answered, is a hang
-# Subset: members for each server's share of copies, and own calls per member that widen or narrow it.
-COVER, WIDEN_AT, NARROW_AT = 5, 1.0, 0.25
+COVER, WIDEN_AT, NARROW_AT = 5, 1.0, 0.25  # subset: members a server, over all copies; own calls a member
 REPORT_TRUST, CROSSING = 0.5, 2.0  # of a reported waiting request against an own call; of a server elsewhere
 GAIN, GAIN_LEAST, SLOWER, ALLOWED = 1.6, 0.8, 2.0, 0.45
 LEAST_EACH = 2.0  # never fewer for each server, by this copy's part
@@ -291,13 +289,12 @@
         self.subset, self.spare = self.members.subset, self.members.spare
         self.calls: dict[int, Call] = {}
         self.tune(0, api.SettingsChanged(settings))
-        self.version = 0  # of the list: one more with each that is taken
-        self.in_pieces, self.before = False, 0  # servers before the first piece; see ServerList.more
+        self.version, self.before = 0, 0  # of the list, one more with each; servers before its first piece
+        self.in_pieces = self.resuming = self.retired = False
         self.upcoming: list[str] = []
-        self.answers = self.reviewed = self.ask_failures = 0
-        self.failed_lately, self.resuming, self.retired = 0.0, False, False
+        self.answers = self.reviewed = self.ask_failures = self.elsewhere = 0
         self.young: dict[str, Server] = {}  # those that may still be cold
-        self.counted, self.carried, self.best = 0, 0.0, 0.0  # see measure
+        self.counted, self.carried, self.best, self.failed_lately = 0, 0.0, 0.0, 0.0  # see measure
         self.alarms: list[tuple[int, int, Callable[[int], None]]] = []
         # When calls are given up: plain numbers, as nearly all have ended by then and must not be held on to.
         self.ends: list[tuple[int, int]] = []
@@ -307,6 +304,7 @@
             api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.TimerFired: self.on_timer,
             api.ClientGone: self.on_gone, api.StreamStarted: self.on_gone, api.ServerList: self.on_list,
             api.Upcoming: self.on_upcoming, api.BodySent: self.on_body_sent, api.SettingsChanged: self.tune,
+            api.Elsewhere: self.on_elsewhere,
         }  # fmt: skip
         self.must_ask = settings.must_ask
         self.sized = settings.size_source in (api.NOMINAL, api.ROUGH)  # a live size echoes what copies did
@@ -698,6 +696,12 @@
         self.review(now)
         self.dispatch(now)
 
+    def on_elsewhere(self, now: int, event: api.Elsewhere) -> None:
+        """What another process of this node still has out is within the same limit."""
+        self.admission.count(event.out - self.elsewhere, now)
+        self.elsewhere = event.out
+        self.dispatch(now)
+
     def free(self, server: Server, key: tuple[int, int], now: int) -> None:
         """The server is done with a call."""
         del server.out[key]
--- a/oakbridge/policy/membership.py
+++ b/oakbridge/policy/membership.py
@@ -170,10 +170,7 @@
         return found
 
     def offer(self, rng: random.Random, home: bool, whole: bool = False) -> Iterator[Server]:
-        """Members in a random order, larger ones likelier first, so that each server gets its part.
-
-        Where crossing zones has a price (``home``), one of the own zone comes first: any pair has one.
-        """
+        """Members in a random order, larger ones likelier first; ``home``: one of the own zone before all."""
         head, behind = None, 0.0  # the first of the own zone, and how far behind the start its zone begins
         if home and self.near.count:
             yield (head := self.near.draw(rng))
--- a/oakbridge/policy/vocabulary.py
+++ b/oakbridge/policy/vocabulary.py
@@ -233,6 +233,13 @@
     settings: Settings
 
 
+@dataclass(slots=True)
+class Elsewhere:
+    """So many calls another process of this node has out, from now on; it hands over, and they end there."""
+
+    out: int
+
+
 @dataclass(slots=True)
 class Upcoming:
     """Servers that the next list will name: records are made ahead, so that taking the list is quick."""
@@ -320,6 +327,7 @@
 Event = (
     ServerList
     | SettingsChanged
+    | Elsewhere
     | Upcoming
     | Request
     | BodySent
--- a/tests/handover/test_machine.py
+++ b/tests/handover/test_machine.py
@@ -16,7 +16,7 @@
     Successor,
     TakeBack,
 )
-from oakbridge.handover.message import CALL, DECLINE, HELLO, OVER, READY, WELCOME, Message
+from oakbridge.handover.message import CALL, DECLINE, HELLO, OVER, READY, STILL, WELCOME, Message
 
 WELCOMED = {"file": {}, "known": {}, "outages": {}, "draining": False}
 
@@ -29,7 +29,8 @@
     assert new.heard(Message(WELCOME, WELCOMED)) == [Build(WELCOMED)]
     assert new.built() == [Say(READY)]
     assert old.heard(Message(READY)) == [HandOver()]
-    assert new.heard(Message(OVER, {"learned": {"a": 1}, "held": 3})) == [Serve({"a": 1}, 3)]
+    assert new.heard(Message(OVER, {"learned": {"a": 1}})) == [Serve({"a": 1})]
+    assert new.heard(Message(STILL, {"out": 2, "held": 9})) == [machine.Share(2, 9)]
     call = Message(CALL, {"word": "OFFLINE", "server": "s"})
     assert old.heard(call) == new.heard(call) == [Apply("OFFLINE", "s")]
     assert old.lost()[-1] == TakeBack()  # it was not told to end: it is the node again
@@ -64,7 +65,8 @@
 
 MESSAGES = st.sampled_from([
     Message(HELLO, {"name": "n"}), Message(WELCOME, WELCOMED), Message(READY), Message(DECLINE, {"why": ""}),
-    Message(OVER, {"learned": {}, "held": 0}), Message(CALL, {"word": "JOIN", "server": ""}),
+    Message(OVER, {"learned": {}}), Message(STILL, {"out": 1, "held": 1}),
+    Message(CALL, {"word": "JOIN", "server": ""}),
 ])  # fmt: skip
 
 
--- a/tests/handover/test_state.py
+++ b/tests/handover/test_state.py
@@ -6,6 +6,7 @@
 from test_balancer import PAY, READ, Driver
 
 from oakbridge.policy import state
+from oakbridge.policy import vocabulary as api
 from oakbridge.policy.vocabulary import ListedServer, Send
 
 ENTRIES = [ListedServer(f"s{i}", place=f"p{i}") for i in range(6)]
@@ -70,6 +71,24 @@
     assert new.ask()
 
 
+def test_the_limit_is_for_both_processes_together():
+    """Guards against a first tier that is sent twice the limit at each upgrade, slows down for it, and jams."""
+    old, new = pair()
+    old.serve(120)
+    for _ in range(200):
+        old.ask()
+    out = old.b.admission.out
+    assert out >= old.b.admission.limit > 4
+    over(old, new)
+    new.feed(api.Elsewhere(out))
+    for _ in range(200):
+        new.ask()
+    assert not new.of(Send)
+    for i, left in enumerate((out - 3, 0)):
+        new.feed(api.Elsewhere(left))
+        assert len(new.of(Send)) == pytest.approx((3, out)[i], abs=1)
+
+
 @pytest.mark.parametrize("part", ["servers", "latency", "admission", "copy", "slots", "rate", "due"])
 def test_what_can_not_be_used_changes_nothing(part):
     old, new = pair()
