--- a/tests/rollout/test_machine.py
+++ b/tests/rollout/test_machine.py
@@ -172,6 +172,7 @@
         self.truth = dict.fromkeys(LETTERS, False)  # which agent runs the new generation
         self.back: list[str] = []
         self.done: dict[str, Fate] = {}
+        self.took: set[str] = set()
         self.judging = False
         self.start()
 
@@ -233,8 +234,13 @@
 
     @invariant()
     def no_more_are_under_way_than_may_be(self):
-        rows = self.machine.report().values()
-        assert sum(1 for r in rows if r.fate in (Fate.SENT, Fate.UNKNOWN)) <= self.disk.unavailable
+        rows = self.machine.report().items()
+        # One that took its step is not under way, also if it falls silent while it is to be taken back: a rollout that
+        # undoes itself asks all of them at once, as each runs what is to go.
+        self.took |= {name for name, row in rows if row.fate is Fate.TOOK}
+        # Resumed, it asks them once more for an end that it has heard before.
+        under_way = [n for n, r in rows if r.fate in (Fate.SENT, Fate.UNKNOWN) and n not in self.took]
+        assert len(under_way) <= self.disk.unavailable
 
     @invariant()
     def no_wave_begins_before_the_one_before_it_was_judged(self):
