Read a message's framing in one pass, and keep a streamed body's deadline with its request

Read once more: framing_fault, content_length and a search for transfer-encoding went over the same headers three times for each answer, and a fourth pass looked for Expect in each request; the Upload protocol in upstream.py stood beside the class it described; chunks were written in two ways, one of them with three writes. Each has one place now (framing, streams.chunk).

A body on its way took its deadline from the classes in force at its end, so that one whose class had vanished meanwhile got another's.

--- a/oakbridge/node/downstream.py
+++ b/oakbridge/node/downstream.py
@@ -16,8 +16,8 @@
 from oakbridge.node.clock import Clock, Timer
 from oakbridge.node.lifecycle import Lifecycle, Phase
 from oakbridge.node.listing import Address
-from oakbridge.node.streams import Upload, absolute, outgoing, progressed
-from oakbridge.node.upstream import FRAMING, MAX_HEAD, MOST_BODY, Headers, content_length, framing_fault
+from oakbridge.node.streams import Upload, absolute, chunk, outgoing, progressed
+from oakbridge.node.upstream import FRAMING, MAX_HEAD, MOST_BODY, Headers, framing
 
 log = logging.getLogger(__name__)
 
@@ -34,9 +34,8 @@
 PATIENCE = 2_500_000
 BODY_LEAST = 64 * 1024  # bytes of a body that have to come in that time: a slow caller writes 64 kB a second
 LINGER = 2  # such times in which a caller that was told to go may still write
-HOLD = (
-    512 * 1024
-)  # a body up to this size is taken whole first: it can be tried again, and holds no server up meanwhile
+# A body up to this size is taken whole first: it can be tried again, and holds no server up meanwhile.
+HOLD = 512 * 1024
 HOLD_LEAST = 64 * 1024  # and up to this where many bodies are held
 HELD_PART = 8  # of the node's memory, that bodies may take while they are held
 IDLE_MOST = 15_000_000  # how long a connection may rest between requests while there is room
@@ -53,7 +52,7 @@
 # What requests are told apart and decided by: said twice, two readers could each take another one for it.
 ONCE = frozenset({
     b"host", b"content-length", b"transfer-encoding", b"x-request-id", b"x-priority-class", b"x-tenant-id",
-    b"x-route-key", b"x-timeout", b"x-retried", b"x-cost", b"idempotency-key",
+    b"x-route-key", b"x-timeout", b"x-retried", b"x-cost", b"idempotency-key", b"expect",
 })  # fmt: skip
 
 _REASON = {
@@ -159,7 +158,7 @@
     __slots__ = ("server", "excess", "transport", "current", "pending", "fed", "begun", "in_head", "broken",
                  "ending", "blocked", "paused", "parser", "url", "headers", "body", "size",
                  "head_size", "once", "twice", "whole", "came", "seen", "unread", "looks", "upload", "source",
-                 "chunked", "last", "expects")  # fmt: skip
+                 "length", "chunked", "last", "expects")  # fmt: skip
 
     def __init__(self, server: Server, excess: bool) -> None:
         self.server, self.excess = server, excess
@@ -184,6 +183,7 @@
         self.url = b""
         self.headers: Headers = []
         self.body: list[bytes] = []
+        self.length: int | None = None
         self.size = self.head_size = 0  # bytes of the body, and of the headers' names and values
         self.once: list[bytes] = []  # what may be said once only, and was
         self.twice = False
@@ -221,9 +221,8 @@
         if self.broken or self.ending:
             return  # read and dropped: see _write
         if not self.fed and not self.blocked:
-            self.server.awaited.remove(
-                self
-            )  # a request begins: it has its own time, whenever the caller came
+            # A request begins: it has its own time, whenever the caller came.
+            self.server.awaited.remove(self)
         whole, self.fed = self.whole, self.fed + nbytes
         try:
             self.parser.feed_data(self.server.buffer[:nbytes])
@@ -288,25 +287,21 @@
                 self.twice = self.twice or name in self.once
                 self.once.append(name)
             self.head_size += len(name) + len(value)
-            self.headers.append(
-                (name, value.strip(b" \t"))
-            )  # space round a value is none of it (RFC 9112, 5.1)
+            self.headers.append((name, value.strip(b" \t")))  # the space is none of it (RFC 9112, 5.1)
 
     def on_headers_complete(self) -> None:
         """Refuse at the head what is too much or can be understood in two ways."""
         self.in_head = False
         if len(self.url) + self.head_size > MAX_HEAD:
             return self._break(431)
-        fault = 400 if self.twice else framing_fault(self.headers)
-        if fault:
-            return self._break(fault)
-        for name, value in self.headers:
-            if name == b"expect":
-                self.expects = (
-                    value.strip().lower() == b"100-continue" and self.parser.get_http_version() != "1.0"
-                )
-                if not self.expects:
-                    return self._break(417)  # RFC 9110, 10.1.1
+        fault, self.length, _ = framing(self.headers)
+        if self.twice or fault:
+            return self._break(400 if self.twice else fault)
+        if b"expect" in self.once:
+            new = self.parser.get_http_version() != "1.0"
+            self.expects = new and dict(self.headers)[b"expect"].lower() == b"100-continue"
+            if not self.expects:
+                return self._break(417)  # RFC 9110, 10.1.1
         # The body has a time of its own.
         self.server.awaited.remove(self)
         self.seen = self.came
@@ -338,7 +333,7 @@
     def _stream(self) -> None:
         """Take the request before its body is whole: the rest goes on as it comes."""
         request = self._request(b"")
-        request.upload = Upload(content_length(self.headers), self.read_on)
+        request.upload = Upload(self.length, self.read_on)
         for part in self.body:
             request.upload.feed(part)
         self._unhold()
@@ -477,11 +472,7 @@
     def pass_on(self, data: bytes) -> None:
         """Pass a part on."""
         if self.transport is not None and data:
-            if self.chunked:
-                self.transport.write(b"%x\r\n" % len(data))
-            self.transport.write(data)
-            if self.chunked:
-                self.transport.write(b"\r\n")
+            self.transport.write(chunk(data) if self.chunked else data)
 
     def finish(self) -> None:
         """The answer that was passed on is whole."""
@@ -489,7 +480,7 @@
         if self.transport is None or self.ending:
             return
         if self.chunked:
-            self.transport.write(b"0\r\n\r\n")
+            self.transport.write(chunk(b""))
         if self.last and not self.pending:
             self._end()
             self.transport.close()
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -17,7 +17,6 @@
 from oakbridge.node.config import Config
 from oakbridge.node.discovery import Discovery
 from oakbridge.node.downstream import HELD_PART, HOP, Request, Server
-from oakbridge.node.lifecycle import LONGEST
 from oakbridge.node.listing import BadList, ConfigError, Entry, Listing, Source, parse, pieces
 from oakbridge.node.outages import Outages
 from oakbridge.node.settings import in_place
@@ -277,8 +276,9 @@
         klass = request.text(b"x-priority-class")
         now = self.clock.now()
         deadline = self.classes[klass].deadline
-        left = deadline if request.time_left is None else request.time_left
-        due = request.taken + left
+        if request.time_left is None:
+            request.time_left = deadline
+        due = request.taken + request.time_left
         if request.due_by is not None:
             due = min(due, request.due_by - ENDING_MARGIN)
         if not self.pool.listed and self.outages.out():  # nobody is left to wait for
@@ -465,7 +465,7 @@
                 request, number, action.server, now, reply, length, source
             ),
             request.upload,
-            lambda: self._body_sent(request, number),
+            None if request.upload is None else lambda: self._body_sent(request, number),
         )
         request.attempt = attempt
         self.pool.send(attempt)
@@ -482,17 +482,11 @@
         """The last of a body that went on as it came is written: the request's time counts from now."""
         if request.answered or request.attempt is None:
             return
-        now, deadline = self.clock.now(), self.longest(request)
+        now, left = self.clock.now(), request.time_left or 0
         request.sent = now
-        self.pool.postpone(request.attempt, now + deadline)
-        request.overdue = self.clock.call_at(now + deadline, lambda: self._overdue(request))
-        self.post(api.BodySent(request.id, number, deadline))
-
-    def longest(self, request: Request) -> int:
-        """How long a request may take."""
-        klass = self.classes.get(request.text(b"x-priority-class"))
-        deadline = klass.deadline if klass is not None else LONGEST
-        return deadline if request.time_left is None else request.time_left
+        self.pool.postpone(request.attempt, now + left)
+        request.overdue = self.clock.call_at(now + left, lambda: self._overdue(request))
+        self.post(api.BodySent(request.id, number, left))
 
     def _begin(
         self, request: Request, number: int, server: str, sent: int, reply: Reply, length: int | None,
--- a/oakbridge/node/streams.py
+++ b/oakbridge/node/streams.py
@@ -68,6 +68,11 @@
             self._changed()
 
 
+def chunk(data: bytes) -> bytes:
+    """A chunk (RFC 9112, 7.1); with no data, the last one and the end of the body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 def absolute(url: bytes) -> bytes:
     """A target without the scheme and host that its absolute form has (RFC 9112, 3.2.2): path and query."""
     if url[:1] == b"/" or b"://" not in url:
--- a/oakbridge/node/upstream.py
+++ b/oakbridge/node/upstream.py
@@ -19,13 +19,13 @@
 
 from oakbridge.node.clock import Clock, Timer
 from oakbridge.node.listing import Address, Listing
+from oakbridge.node.streams import Upload, chunk
 from oakbridge.policy.vocabulary import UP, Result
 
 log = logging.getLogger(__name__)
 
-WHOLE = (
-    64 * 1024
-)  # an answer up to this size is taken whole first, so that a spoilt one can still be tried again
+# An answer up to this size is taken whole first, so that a spoilt one can still be tried again.
+WHOLE = 64 * 1024
 MOST_BODY = 34 * 1024 * 1024  # no body is longer, either way
 MAX_HEAD = 16 * 1024
 CHUNK = 64 * 1024
@@ -53,19 +53,6 @@
         """The answer ends here and is not whole; the caller must be able to tell."""
 
 
-class Upload(Protocol):
-    """A request's body that goes on as it comes."""
-
-    length: int | None  # as announced; None: it comes in chunks, and goes on so
-    complete: bool  # nothing more comes
-
-    def attach(self, more: Callable[[], None]) -> None:
-        """Name who is told of more to take, or of the end."""
-
-    def take(self) -> bytes:
-        """What has come and was not taken; empty if nothing has."""
-
-
 @dataclass(slots=True)
 class Reply:
     """How an attempt ended, and what the server said."""
@@ -221,10 +208,10 @@
             return b""
         data = upload.take()
         if data:
-            return data if upload.length is not None else b"%x\r\n%b\r\n" % (len(data), data)
+            return data if upload.length is not None else chunk(data)
         if upload.complete:
             self.upload = None
-            return b"0\r\n\r\n" if upload.length is None else b""
+            return chunk(b"") if upload.length is None else b""
         return b""
 
     def written(self) -> bool:
@@ -344,11 +331,10 @@
         if self.complete:
             return
         self.in_body, self.status = True, self.parser.get_status_code()
-        self.spoilt = framing_fault(self.headers) != 0
-        if not self.spoilt and self.status >= 200:
-            self.length = content_length(self.headers)
-            chunked = any(name == b"transfer-encoding" for name, _ in self.headers)
-            self.until_close = self.length is None and not chunked and self.status not in (204, 304)
+        fault, self.length, chunked = framing(self.headers)
+        self.spoilt = fault != 0
+        bodied = self.status >= 200 and self.status not in (204, 304)
+        self.until_close = bodied and self.length is None and not chunked
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body, or pass it on if there is too much of it to be kept."""
@@ -451,28 +437,21 @@
         self.pool.forget(self)
 
 
-def framing_fault(headers: Headers) -> int:
-    """The status that says what is wrong with a message's framing (RFC 9112, 6.1 to 6.3), or 0; one pass, for each.
+def framing(headers: Headers) -> tuple[int, int | None, bool]:
+    """How a message is framed (RFC 9112, 6.1 to 6.3): its fault, or 0; its length, if told; whether it is in chunks.
 
     413: it says that it is longer than any may be (the parser let nothing but digits through); 400: it is framed in a
-    way that nobody here uses, so that others may see another end of it.
+    way that nobody here uses, so that others may see another end of it.  One pass, for each message.
     """
-    status = 0
-    for name, value in headers:
-        if name == b"content-length":
-            if int(value) > MOST_BODY:
-                status = status or 413
-        elif name == b"transfer-encoding" and value.strip().lower() != b"chunked":
-            return 400
-    return status
-
-
-def content_length(headers: Headers) -> int | None:
-    """The length that a message announces, if it does."""
+    length, chunked = None, False
     for name, value in headers:
         if name == b"content-length":
-            return int(value)
-    return None
+            length = int(value)
+        elif name == b"transfer-encoding":
+            if value.lower() != b"chunked":
+                return 400, None, False
+            chunked = True
+    return 413 if length is not None and length > MOST_BODY else 0, length, chunked
 
 
 def outcome(status: int, headers: Headers) -> Result:
