--- a/tests/node/test_streams.py
+++ b/tests/node/test_streams.py
@@ -53,10 +53,6 @@
             writer.transport.abort()
 
 
-async def get(caller, klass: str = "look", **more) -> None:
-    caller.send(klass=klass, **more)
-
-
 # ---- answers
 
 
@@ -111,7 +107,7 @@
             if chunked:
                 assert await soon(caller.reader.readexactly(5)) == b"0\r\n\r\n"
             if framing == "length" and not old:  # and the connection is kept on both sides
-                await get(caller)
+                caller.send()
                 assert (await caller.answer())[0] == 200
                 assert server.connections == 1
 
@@ -133,7 +129,7 @@
         async with server, Running(server) as node:
             caller = await node.caller()
             for _ in range(12):  # firsts that the retry budget counts
-                await get(caller)
+                caller.send()
                 status, _, body = await caller.answer()
                 assert (status, body.strip(b"y")) in ((200, b""), (503, b""))
 
@@ -158,7 +154,7 @@
     async def scenario():
         async with RawServer(handle) as server, Running(server) as node:
             caller = await node.caller()
-            await get(caller)
+            caller.send()
             with contextlib.suppress(ConnectionResetError):
                 got = await soon(caller.reader.read())
                 assert len(got) < BIG
@@ -184,7 +180,7 @@
     async def scenario():
         async with RawServer(handle) as server, Running(server) as node:
             caller = await node.caller()
-            await get(caller)
+            caller.send()
             await soon(caller.reader.readuntil(b"\r\n\r\n"))
             caller.close()
             await soon(left.wait())
@@ -209,16 +205,14 @@
         async with RawServer(handle) as server, Running(server) as node:
             caller = await node.caller()
             caller.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
-            await get(caller, klass="look")
+            caller.send()
             await soon(caller.reader.readuntil(b"\r\n\r\n"))
             caller.writer.transport.pause_reading()
             [one] = node.node.server._callers
             while not one.blocked:
                 await asyncio.sleep(0.005)
             [[connection]] = [target.busy for target in node.node.pool.targets.values()]
-            assert (
-                connection.paused
-            )  # what the server still writes stays with the kernel, then with the server
+            assert connection.paused  # what the server still writes stays with it
             assert one.transport.get_write_buffer_size() < 2 * upstream.CHUNK + 65536
             caller.writer.transport.resume_reading()
             got = 0
@@ -246,7 +240,7 @@
     async def scenario():
         async with RawServer(handle) as server, Running(server) as node:
             caller = await node.caller()
-            await get(caller, klass="brief", X_Timeout="400m")  # 1 s of writing
+            caller.send(klass="brief", X_Timeout="400m")  # 1 s of writing
             assert len((await caller.answer())[2]) == 640_000
 
     run(scenario())
@@ -256,7 +250,7 @@
     async def scenario():
         async with Peer(lambda _: reply(500, b"x" * 100_000)) as peer, Running(peer) as node:
             caller = await node.caller()
-            await get(caller, klass="book", method="POST", body=b"x")
+            caller.send(klass="book", method="POST", body=b"x")
             assert (await caller.answer())[0] == 502
 
     run(scenario())
@@ -509,7 +503,7 @@
     async def scenario():
         async with RawServer(handle) as server, Running(server) as node:
             caller = await node.caller()
-            await get(caller, klass="book", method="POST", body=b"x")
+            caller.send(klass="book", method="POST", body=b"x")
             assert (await caller.answer())[2] == b"slow!"
 
     run(scenario())
