--- a/tests/node/test_streams.py
+++ b/tests/node/test_streams.py
@@ -7,10 +7,11 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from peers import Peer, Running, reply, run, soon
+from peers import SETTINGS, Peer, Running, reply, run, soon
 
 from oakbridge.node import downstream as callers
 from oakbridge.node import streams, upstream
+from oakbridge.node.settings import read_settings
 from oakbridge.node.streams import WINDOW, Upload, absolute
 
 BIG = 3_000_000
@@ -302,7 +303,8 @@
     run(scenario())
 
 
-def test_a_long_body_goes_on_before_it_is_whole_and_its_time_counts_from_its_end():
+@pytest.mark.parametrize("gone", [False, True])
+def test_a_long_body_goes_on_before_it_is_whole_and_its_time_counts_from_its_end(gone):
     began = asyncio.Event()
 
     async def handle(reader, writer):
@@ -321,6 +323,9 @@
             caller.writer.write(b"x" * 1_000_000)
             await soon(began.wait())
             await asyncio.sleep(0.6)  # longer than the request may take, once it is whole
+            if gone:  # the request keeps the time that it was taken with
+                classes = [c for c in SETTINGS["classes"] if c["name"] != "brief"]
+                node.node._change(read_settings(SETTINGS | {"classes": classes}))
             caller.writer.write(b"x" * (BIG - 1_000_000))
             assert (await caller.answer())[0] == 200
 
