Add the core of membership: SWIM with Lifeguard's corrections, stances and places, pure

Need: whatever many processes do together needs one answer first: who is there, and how sure am I. Every node decides alone today.

--- /dev/null
+++ b/tests/members/test_parts.py
@@ -0,0 +1,220 @@
+"""The parts by themselves: datagrams, suspicion, news, stances, places."""
+
+import random
+
+import msgspec
+import pytest
+
+from oakbridge.peers.member import Member
+from oakbridge.peers.news import News
+from oakbridge.peers.places import Place, Places, place
+from oakbridge.peers.record import ALIVE, FAILED, LEFT, SUSPECT, Fact, Record, merged
+from oakbridge.peers.stance import USES, Seen, stance
+from oakbridge.peers.suspicion import Suspicion, least
+from oakbridge.peers.wire import GOSSIP, HEAD, MAX_DATAGRAM, NEWEST, PING, Codec, Dropped, Message
+
+S = 1_000_000
+RECORD = Record("b", "127.0.0.1:1", 5, 9, 2, ALIVE, "", 2, {"site": "x"})
+MESSAGE = Message(PING, 7, "a", 5, 0, "b", "", (RECORD,), (Fact("a", 5, 1, 0, 3),))
+
+
+def resealed(body: bytes, version: int = NEWEST) -> bytes:
+    return Codec(b"s")._seal(version, body)
+
+
+@pytest.mark.parametrize(
+    ("kind", "data"),
+    [
+        ("short", b""),
+        ("short", Codec(b"s").write(MESSAGE)[:HEAD]),
+        ("tag", Codec(b"other").write(MESSAGE)),
+        ("tag", Codec(b"s").write(MESSAGE)[:-1]),
+        ("tag", bytes((2,)) + Codec(b"s").write(MESSAGE)[1:]),
+        ("version", resealed(b"x", NEWEST + 1)),
+        ("long", bytes(MAX_DATAGRAM + 1)),
+        ("form", resealed(b"x")),
+        ("form", resealed(msgspec.msgpack.encode([1, 2]))),
+        ("form", resealed(msgspec.msgpack.encode([99, 7, "a", 5, 0]))),
+        ("form", resealed(msgspec.msgpack.encode([PING, -1, "a", 5, 0]))),
+        ("form", resealed(msgspec.msgpack.encode([PING, 1, "a" * 65, 5, 0]))),
+        ("form", resealed(b"\x91" * 1000)),
+    ],
+)
+def test_what_can_not_be_taken_is_counted_by_kind(kind, data):
+    codec = Codec(b"s")
+    with pytest.raises(Dropped) as dropped:
+        codec.read(data)
+    assert dropped.value.kind == kind
+    assert codec.dropped == {kind: 1}
+
+
+def test_both_formats_are_read_and_later_fields_are_passed_over():
+    codec = Codec(b"s")
+    assert codec.read(codec.write(MESSAGE, 2)) == MESSAGE
+    assert codec.read(codec.write(MESSAGE, 1)).facts == ()
+    longer = [*msgspec.to_builtins(MESSAGE), "of a later version"]
+    assert codec.read(resealed(msgspec.msgpack.encode(longer))) == MESSAGE
+
+
+def test_mutated_datagrams_change_nothing():
+    rng, codec = random.Random(1), Codec(b"s")
+    member = Member("b", "127.0.0.1:1", 5, {}, 1, 0)
+    good = codec.write(MESSAGE, 2)
+    before = member.state()
+    for _ in range(20_000):
+        data = bytearray(good)
+        for _ in range(rng.randint(1, 4)):
+            data[rng.randrange(len(data))] = rng.randrange(256)
+        data = data[: rng.randint(0, len(data))] if rng.random() < 0.3 else data
+        if bytes(data) == good:
+            continue
+        with pytest.raises(Dropped):
+            codec.read(bytes(data))
+    assert member.state() == before
+
+
+def test_sealed_nonsense_raises_nothing():
+    """With the right tag, whatever the fields say: an ill member must not end another."""
+    rng, codec = random.Random(2), Codec(b"s")
+    member = Member("b", "b", 5, {}, 1, 0)
+    names = ["a", "b", "c", ""]
+    taken = 0
+    for now in range(5_000):
+        record = [
+            rng.choice(names), rng.choice("abc"), rng.randrange(8), rng.randrange(3), rng.randrange(4),
+            rng.randrange(5), rng.choice(names), rng.choice([1, 2, 200]),
+        ]  # fmt: skip
+        body = [rng.randrange(6), rng.randrange(9), rng.choice(names), rng.randrange(8), rng.randrange(4)]
+        body += [rng.choice(names), rng.choice("abc"), [record] * rng.randrange(3), []]
+        try:
+            message = codec.read(resealed(msgspec.msgpack.encode(body)))
+        except Dropped:
+            continue
+        taken += 1
+        member.receive(now * 1000, "c", message)
+        if member.due() <= now * 1000:
+            member.tick(now * 1000)
+        if member.replaced is not None:
+            member = Member("b", "b", 5, {}, 1, now * 1000)
+    assert taken > 1000
+    assert set(member.known) <= {"a", "c"}
+
+
+def test_a_datagram_is_never_longer_than_it_may_be():
+    member = Member("m" * 64, "127.255.255.255:65535", 2**62, {}, 1, 0)
+    codec, longest = Codec(b"s"), 0
+    for i in range(300):
+        name = f"{i:03d}" + "n" * 61
+        tags = {f"{k:048d}": "v" * 48 for k in range(8 if i % 50 == 0 else 1)}
+        news = Record(name, "127.255.255.254:65535", 2**62, 2**61, 2**50, ALIVE, "", 2, tags)
+        member.receive(i, "x", Message(GOSSIP, 0, name, 2**62, 0, "", "", (news,)))
+    now = 0
+    while now < 60 * S:
+        now = member.due()
+        for action in member.tick(now):
+            if hasattr(action, "message"):
+                longest = max(longest, len(codec.write(action.message, 2)))
+    assert MAX_DATAGRAM // 2 < longest <= MAX_DATAGRAM
+
+
+@pytest.mark.parametrize(
+    ("older", "newer"),
+    [
+        (RECORD, RECORD.said(SUSPECT, "c")),
+        (RECORD.said(SUSPECT, "c"), RECORD.said(FAILED, "c")),
+        (RECORD.said(FAILED), RECORD.said(LEFT)),
+        (RECORD.said(FAILED), msgspec.structs.replace(RECORD, incarnation=3)),
+        (RECORD.said(LEFT), msgspec.structs.replace(RECORD, life=6, incarnation=0)),
+        (RECORD, msgspec.structs.replace(RECORD, token=10, incarnation=0)),
+    ],
+)
+def test_which_saying_counts(older, newer):
+    assert merged(older, newer) == newer
+    assert merged(newer, older) is None
+    assert merged(newer, newer) is None
+
+
+def test_suspicion_shrinks_with_independent_accusers():
+    period = 500_000
+    assert least(10, period) < least(100, period) < least(1000, period)
+    suspicion = Suspicion(0, 2 * S, 12 * S, {"a"})
+    ends = [suspicion.ends()]
+    for accuser in ("a", "b", "b", "c", "d", "e", "f"):
+        suspicion.confirm(accuser)
+        ends.append(suspicion.ends())
+    assert ends == sorted(ends, reverse=True)
+    assert ends[0] == ends[1] == 12 * S
+    assert ends[-1] == 2 * S
+    assert len(suspicion.accusers) == 4
+
+
+def test_news_is_bounded_told_in_turn_and_ends():
+    news: News[int] = News(50)
+    for i in range(80):
+        news.put(str(i), i, 10)
+    assert len(news) == 50
+    told = [piece for _ in range(200) for piece in news.take(100, 4)]
+    assert len(news) == 0
+    assert {told.count(i) for i in set(told)} == {4}
+    assert len(set(told)) == 50
+    news.put("a", 1, 10)
+    news.put("a", 2, 10)
+    assert news.take(100, 1) == [2]
+
+
+def seen(there: str, lost: str = "", since: int = 0) -> list[Seen]:
+    """Members by site: ``aabb`` are two of site a and two of b."""
+    return [
+        Seen(f"{n:02d}{site}", up, since, site, "x")
+        for n, (site, up) in enumerate([*((s, True) for s in there), *((s, False) for s in lost)])
+    ]
+
+
+@pytest.mark.parametrize(
+    ("members", "now", "kind", "sites", "larger"),
+    [
+        (seen("aabb"), 0, "whole", (), True),
+        (seen("aaabbbccc", "c"), 0, "whole", (), True),
+        (seen("aabb", "cc"), 0, "parted", ("c",), True),
+        (seen("cc", "aabb"), 0, "parted", ("a", "b"), False),
+        (seen("aaaab", "bb"), 0, "parted", (), True),
+        (seen("aaaabbb", "c"), 0, "whole", (), True),  # one alone is no part
+        (seen("aabb", "cc"), 3_700 * S, "whole", (), True),  # gone for more than an hour
+        (seen("a", "b"), 0, "alone", (), True),
+        (seen("ab", "cd"), 0, "parted", (), True),  # halves: the one with the first name
+        (seen("a"), 0, "whole", (), True),
+    ],
+)
+def test_stance(members, now, kind, sites, larger):
+    found = stance(members[0].name, members, now)
+    assert (found.kind, found.sites, found.larger) == (kind, sites, larger)
+    if kind == "parted":
+        assert "out of reach" in str(found) and found.by == ("x",)
+
+
+def test_halves_never_both_take_themselves_for_the_larger():
+    for there, lost in (("aab", "bcc"), ("aaa", "bbb")):
+        members = seen(there, lost)
+        other = [Seen(m.name, not m.there, m.since, m.site, m.by) for m in members]
+        assert stance("", members, 0).larger != stance("", other, 0).larger
+
+
+def test_calls_are_served_in_every_stance():
+    row = USES[0]
+    assert {row.does(kind) for kind in ("starting", "whole", "parted", "alone")} == {"serve"}
+    assert stance("a", seen("a"), 0, starting=True).kind == "starting"
+    assert stance("a", seen("aa"), 0, replaced=True).kind == "alone"
+
+
+def test_places_agree_and_move_only_while_all_are_there():
+    names = [f"n{i}" for i in range(7)]
+    assert sorted(place(n, names).index for n in names) == list(range(7))
+    whole, parted = stance("n1", seen("aaa"), 0), stance("n1", seen("aa", "bb"), 0)
+    places = Places("n1", settle=3 * S)
+    assert places.update(0, whole, names) is None
+    assert places.update(4 * S, whole, names) == place("n1", names)
+    assert places.update(8 * S, parted, names[:3]) is None
+    assert places.update(60 * S, parted, names[:3]) is None
+    assert places.now == place("n1", names)
+    places.update(61 * S, whole, names[:3])
+    assert places.update(65 * S, whole, names[:3]) == Place(place("n1", names[:3]).index, 3)
