--- a/oakbridge/peers/member.py
+++ b/oakbridge/peers/member.py
@@ -109,6 +109,7 @@
     record: Record
     since: int  # when it came into its state
     heard: int = -1  # when it last sent something itself
+    told: int = -(2**62)  # when it was last told what is said of it, unasked
     suspicion: Suspicion | None = None
     fact: Fact | None = None
     fact_at: int = 0
@@ -284,8 +285,10 @@
                 if self._probe is not None and self._probe.seq == message.seq:
                     self._probe.nacks += 1
             case _:
-                if known is not None and not known.there:
-                    self._send(known.record, GOSSIP, 0, now)  # it does not know what is said of it
+                # It does not know what is said of it; seldom, as it may hold the same of us and answer likewise.
+                if known is not None and not known.there and now - known.told >= self.options.probe_timeout:
+                    known.told = now
+                    self._send(known.record, GOSSIP, 0, now)
         return self._done()
 
     def tick(self, now: int) -> list[Action]:
@@ -441,12 +444,16 @@
     def _reach(self, now: int) -> None:
         """Look at one that failed: it may have been cut off, and be there again."""
         gone = [n for n, k in self.known.items() if k.record.state == FAILED]
-        if gone:
-            name = self._random.choice(gone)
-            self._send(self.known[name].record, PING, 0, now, target=name)
-        elif strangers := set(self._seeds) - {k.record.address for k in self.known.values() if k.there}:
-            # A fleet whose first members met in pairs is several fleets until the seeds have met, too.
-            self._knock(now, self._random.choice(sorted(strangers)))
+        # A fleet whose first members met in pairs is several fleets until the seeds have met, too.
+        there = {k.record.address for k in self.known.values() if k.there}
+        strangers = sorted(s for s in self._seeds if s not in there)
+        if not gone and not strangers:
+            return
+        number = self._random.randrange(len(gone) + len(strangers))
+        if number < len(gone):
+            self._send(self.known[gone[number]].record, PING, 0, now, target=gone[number])
+        else:
+            self._knock(now, strangers[number - len(gone)])
 
     # ---- what is heard
 
@@ -517,7 +524,8 @@
             self.counts["refuted"] += 1
             self._feel(1)
             self._raise(now, mine.life, record.incarnation + 1)
-        elif self.starting or record.state > SUSPECT:
+        elif self.starting or record.state > SUSPECT or record.address == mine.address:
+            # Nobody lives at this address but this process: that is its own past, of which its seeds did not know.
             self.counts["lives"] += 1
             self._raise(now, record.life + 1, 0)
         elif self.replaced is None:
--- a/oakbridge/peers/simulated.py
+++ b/oakbridge/peers/simulated.py
@@ -81,7 +81,7 @@
         address = address or name
         member = Member(name, address, life, tags or {}, self.random.getrandbits(64), self.now, self.options)
         host = self.hosts[name] = self.at[address] = Host(member, address)
-        self._carry(host, member.join(self.now, seeds))
+        self.carry(host, member.join(self.now, seeds))
         self._wake(host)
         return host
 
@@ -103,7 +103,7 @@
         if host.up:
             self._tick(host)
             for source, message in waited:
-                self._carry(host, host.member.receive(self.now, source, message))
+                self.carry(host, host.member.receive(self.now, source, message))
             self._wake(host)
 
     def later(self, delay: int, action: Callable[[], None]) -> None:
@@ -135,9 +135,10 @@
 
     def _tick(self, host: Host) -> None:
         if host.member.due() <= self.now:
-            self._carry(host, host.member.tick(self.now))
+            self.carry(host, host.member.tick(self.now))
 
-    def _carry(self, host: Host, actions: list[Action]) -> None:
+    def carry(self, host: Host, actions: list[Action]) -> None:
+        """Carry out what a member asks for."""
         for action in actions:
             match action:
                 case Send():
@@ -177,7 +178,7 @@
             if to.inbox is not None and len(to.inbox) < 256:
                 to.inbox.append((source, message))
             return
-        self._carry(to, to.member.receive(self.now, source, message))
+        self.carry(to, to.member.receive(self.now, source, message))
         self._wake(to)
 
     def _exchange(self, host: Host, address: str) -> None:
@@ -188,13 +189,13 @@
                 return
             cut = self.cut(host.address, address) or self.cut(address, host.address)
             if to is None or not to.up or to.frozen or cut:
-                self._carry(host, host.member.exchange_failed(self.now, address))
+                self.carry(host, host.member.exchange_failed(self.now, address))
                 return
             mine, theirs = host.member.state(), to.member.state()
             if self.measure:
                 self.counts["exchange bytes"] += len(_size(mine)) + len(_size(theirs))
-            self._carry(to, to.member.exchanged(self.now, mine, asked=False))
-            self._carry(host, host.member.exchanged(self.now, theirs, asked=True))
+            self.carry(to, to.member.exchanged(self.now, mine, asked=False))
+            self.carry(host, host.member.exchanged(self.now, theirs, asked=True))
             self._wake(to)
             self._wake(host)
 
