--- a/oakbridge/cli/common.py
+++ b/oakbridge/cli/common.py
@@ -44,6 +44,14 @@
     )(function)
 
 
+def look_options(function: Any) -> Any:
+    """The ways to look at what a node holds."""
+    every = click.FloatRange(0.1, 60)
+    function = click.option("--every", default=1.0, type=every, help="Seconds between two looks.")(function)
+    function = click.option("--watch", is_flag=True, help="Go on showing it, until Ctrl-C.")(function)
+    return click.option("--json", "as_json", is_flag=True, help="All of it, as JSON.")(function)
+
+
 def connect(socket_path: Path | None, config: Path | None) -> ControlClient:
     """A connection to the node that is meant: by socket, by configuration, or the only one there is."""
     try:
--- a/oakbridge/cli/peers.py
+++ b/oakbridge/cli/peers.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import time
 from pathlib import Path
 from typing import Any
 
 import click
 from rich import box
-from rich.console import Console, Group
-from rich.live import Live
+from rich.console import Group
 from rich.table import Table
 from rich.text import Text
 
-from oakbridge.cli.common import Failed, connect, say_json, socket_options
+from oakbridge.cli.common import Failed, connect, look_options, say_json, socket_options
+from oakbridge.cli.looking import show
 from oakbridge.control.client import Unreachable
 from oakbridge.control.protocol import Refusal
 
@@ -22,9 +21,7 @@
 
 @click.group("peers", invoke_without_command=True)
 @socket_options
-@click.option("--json", "as_json", is_flag=True, help="All of it, as JSON.")
-@click.option("--watch", is_flag=True, help="Go on showing it, until Ctrl-C.")
-@click.option("--every", default=1.0, type=click.FloatRange(0.1, 60), help="Seconds between two looks.")
+@look_options
 @click.pass_context
 def command(
     ctx: click.Context,
@@ -38,21 +35,7 @@
     ctx.obj = (socket_path, config)
     if ctx.invoked_subcommand is not None:
         return
-    with connect(socket_path, config) as client:
-        try:
-            if as_json:
-                return say_json(client.ask("peers"))
-            console = Console()
-            if not watch:
-                return console.print(picture(client.ask("peers")))
-            with Live(console=console, auto_refresh=False, screen=console.is_terminal) as live:
-                while True:
-                    live.update(picture(client.ask("peers")), refresh=True)
-                    time.sleep(every)
-        except (Unreachable, Refusal) as e:
-            raise Failed(str(e)) from None
-        except KeyboardInterrupt:
-            return
+    show(socket_path, config, "peers", picture, as_json, watch, every)
 
 
 @command.command("why")
--- a/oakbridge/cli/serve.py
+++ b/oakbridge/cli/serve.py
@@ -161,12 +161,12 @@
     from oakbridge.peers.shell import Peers
     from oakbridge.peers.snapshot import BadSnapshot
 
-    options = peers_options(loaded)
-    assert options is not None
-    held = Peers(options) if node is None else Peers(options, facts(node), placed(node))
     try:
+        options = peers_options(loaded)
+        assert options is not None
+        held = Peers(options) if node is None else Peers(options, facts(node), placed(node))
         await held.start()
-    except BadSnapshot as e:
+    except (BadFile, BadSnapshot) as e:
         raise ConfigError(str(e)) from None
     watched = seeds_file(loaded)
     seeds = Seeds(watched, held) if watched is not None else None
@@ -263,10 +263,6 @@
     given = Given(path, name, listen, socket_path, workers, worker, log_format)
     try:
         loaded = given.load()
-        if loaded.file.peers is not None:
-            from oakbridge.config.peers import peers_options
-
-            peers_options(loaded)  # its secret is there
     except (BadFile, ConfigError) as e:
         raise BadInput(str(e)) from None
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens to it: it ends no node
--- a/oakbridge/cli/status.py
+++ b/oakbridge/cli/status.py
@@ -2,49 +2,30 @@
 
 from __future__ import annotations
 
-import time
 from pathlib import Path
 from typing import Any
 
 import click
 from rich import box
-from rich.console import Console, Group
-from rich.live import Live
+from rich.console import Group
 from rich.table import Table
 from rich.text import Text
 
-from oakbridge.cli.common import Failed, connect, say_json, socket_options
-from oakbridge.control.client import Unreachable
-from oakbridge.control.protocol import Refusal
+from oakbridge.cli.common import look_options, socket_options
+from oakbridge.cli.looking import show
 
 STATE_STYLE = {"up": "green", "cold": "cyan", "ejected": "red", "drains": "yellow"}
 
 
 @click.command("status")
 @socket_options
-@click.option("--json", "as_json", is_flag=True, help="All of it, as JSON.")
-@click.option("--watch", is_flag=True, help="Go on showing it, until Ctrl-C.")
-@click.option("--every", default=1.0, type=click.FloatRange(0.1, 60), help="Seconds between two looks.")
+@look_options
 @click.option("--rows", default=40, type=click.IntRange(0, 100_000), help="Servers to show at most.")
 def command(
     socket_path: Path | None, config: Path | None, as_json: bool, watch: bool, every: float, rows: int
 ) -> None:
     """Show what a running node believes: its servers, its limits, the list that it uses."""
-    with connect(socket_path, config) as client:
-        try:
-            if as_json:
-                return say_json(client.ask("status", rows=rows))
-            console = Console()
-            if not watch:
-                return console.print(picture(client.ask("status", rows=rows)))
-            with Live(console=console, auto_refresh=False, screen=console.is_terminal) as live:
-                while True:
-                    live.update(picture(client.ask("status", rows=rows)), refresh=True)
-                    time.sleep(every)
-        except (Unreachable, Refusal) as e:
-            raise Failed(str(e)) from None
-        except KeyboardInterrupt:
-            return
+    show(socket_path, config, "status", picture, as_json, watch, every, rows=rows)
 
 
 def _source(told: dict[str, Any]) -> list[str]:
--- a/oakbridge/config/peers.py
+++ b/oakbridge/config/peers.py
@@ -30,6 +30,7 @@
         secret=read_secret(resolved(table.secret_file, loaded.path)),
         advertise=table.advertise,
         seeds=tuple(table.seeds),
+        more_seeds=table.seeds_file is not None,
         tags={name: value for name, value in tags.items() if value},
         snapshot=resolved(table.snapshot, loaded.path) if table.snapshot else None,
         member=member,
--- a/oakbridge/node/listing.py
+++ b/oakbridge/node/listing.py
@@ -42,6 +42,16 @@
     whole: bool
     entries: list[Entry]
 
+    def put_into(self, known: dict[str, Entry]) -> None:
+        """Bring what is known, by name, up to this version."""
+        if self.whole:
+            known.clear()
+        for entry in self.entries:
+            if entry.server.state == api.GONE:
+                known.pop(entry.server.id, None)
+            else:
+                known[entry.server.id] = entry
+
 
 def pieces(listing: Listing, known: Collection[str]) -> list[Listing]:
     """A long list as changes that are taken one after another, so that none holds the loop up; a short one as it is.
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -375,13 +375,7 @@
     def _take_piece(self, saved: bool = False, back: bool = False) -> None:
         """No connection that is given out after this leads elsewhere."""
         piece = self._pieces.popleft()
-        if piece.whole:
-            self._listed.clear()
-        for entry in piece.entries:
-            if entry.server.state == api.GONE:
-                self._listed.pop(entry.server.id, None)
-            else:
-                self._listed[entry.server.id] = entry
+        piece.put_into(self._listed)
         piece = replace(piece, entries=self.outages.apply_all(piece.entries))
         for front in self.fronts:
             front.listed(piece)
--- a/oakbridge/peers/beside.py
+++ b/oakbridge/peers/beside.py
@@ -43,13 +43,7 @@
 
     def listed(self, listing: Listing, saved: bool = False) -> None:
         """Join by these from now on."""
-        if listing.whole:
-            self._entries.clear()
-        for entry in listing.entries:
-            if entry.server.state == api.GONE:
-                self._entries.pop(entry.server.id, None)
-            else:
-                self._entries[entry.server.id] = entry
+        listing.put_into(self._entries)
         self._peers.seed([entry.address for entry in self._entries.values()])
 
     def lost_watch(self) -> None:
--- a/oakbridge/peers/member.py
+++ b/oakbridge/peers/member.py
@@ -108,7 +108,6 @@
 
     record: Record
     since: int  # when it came into its state
-    heard: int = -1  # when it last sent something itself
     told: int = -(2**62)  # when it was last told what is said of it, unasked
     suspicion: Suspicion | None = None
     fact: Fact | None = None
@@ -210,11 +209,14 @@
     # ---- what happens
 
     def join(self, now: int, seeds: Iterable[str]) -> list[Action]:
-        """Take up with the members at these addresses; with none that is another this member begins alone."""
+        """Take up with the members at these addresses; with none that is another this member begins alone.
+
+        Called again, other addresses take their place; a start that is under way goes on with them.
+        """
         self._seeds = [s for s in dict.fromkeys(seeds) if s != self.me.address]
         if not self._seeds:
             self.starting = False
-        else:
+        elif self.starting and not self._tries:
             self._join(now)
         return self._done()
 
@@ -265,8 +267,6 @@
             self.counts["of old lives"] += 1  # it has been replaced, and is told
             self._compose(source, known.record.speaks, known.record, GOSSIP, 0, now)
             return self._done()
-        if known is not None and known.record.life == message.life:
-            known.heard = now
         for record in message.news:
             self._hear(now, record, message.sender, "news")
         for fact in message.facts:
@@ -605,7 +605,7 @@
             self._learn(now, record.state == ALIVE)
         known.record, known.suspicion = record, None
         if fresh:
-            known.fact, known.heard = None, -1
+            known.fact = None
         if record.state == SUSPECT:
             self._doubt(now, known, record.by)
         if before != STATES[record.state] or fresh:
--- a/oakbridge/peers/shell.py
+++ b/oakbridge/peers/shell.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import logging
 import random
@@ -22,10 +23,11 @@
 
 import msgspec
 
+from oakbridge.node.listing import Address, parse_address
 from oakbridge.peers import snapshot as snap
 from oakbridge.peers.member import Action, Changed, Exchange, Member, Options, Replaced, Send
 from oakbridge.peers.places import Place, Places
-from oakbridge.peers.record import STATES
+from oakbridge.peers.record import LEFT, STATES
 from oakbridge.peers.stance import Seen, Stance, stance
 from oakbridge.peers.wire import MAX_STATE, Codec, Dropped, State
 
@@ -42,8 +44,6 @@
 LENGTH = struct.Struct("!I")
 RECEIVE_BUFFER = 1024 * 1024
 
-Address = tuple[str, int]
-
 
 @dataclass(frozen=True, slots=True)
 class PeersOptions:
@@ -54,6 +54,7 @@
     secret: bytes = field(repr=False)
     advertise: Address | None = None  # if others reach it elsewhere
     seeds: tuple[Address, ...] = ()
+    more_seeds: bool = False  # others are told by ``Peers.seed``
     tags: dict[str, str] = field(default_factory=dict)
     snapshot: Path | None = None
     member: Options = Options()
@@ -64,10 +65,8 @@
     return f"{address[0]}:{address[1]}"
 
 
-def split(address: str) -> Address:
-    """The reverse of :func:`text`.  Raises ValueError."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+# Members' addresses come again and again; a name in one, which would have to be looked up, is refused.
+place_of = functools.lru_cache(4096)(parse_address)
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -88,6 +87,7 @@
         self._facts, self._placed = facts, placed
         self._address = text(options.advertise or options.listen)
         self._random = random.Random()
+        self._seeds: tuple[str, ...] = ()
         self._tasks: set[asyncio.Task[None]] = set()
         self._open = {"in": 0, "out": 0}
         self._timer: asyncio.TimerHandle | None = None
@@ -120,7 +120,9 @@
         except OSError:
             self._transport.close()
             raise
-        self._carry(self.member.join(self._now(), [*map(text, self.options.seeds), *kept.seeds()]))
+        self._seeds = (*map(text, self.options.seeds), *kept.seeds())
+        if self._seeds or not self.options.more_seeds:  # else it is not known yet whether there is anybody
+            self._carry(self.member.join(self._now(), self._seeds))
         self._spawn(self._looking())
         if self.options.snapshot is not None:
             self._spawn(self._saving(self.options.snapshot))
@@ -146,8 +148,8 @@
             self._transport.close()
 
     def seed(self, seeds: Iterable[Address]) -> None:
-        """Other addresses to join by."""
-        self._carry(self.member.join(self._now(), map(text, seeds)))
+        """Addresses to join by, beside those of the options and of the snapshot; in place of the ones told before."""
+        self._carry(self.member.join(self._now(), (*self._seeds, *map(text, seeds))))
 
     @staticmethod
     def _now() -> int:
@@ -190,7 +192,7 @@
                     self.counts["bytes sent"] += len(data)
                     if self._transport is not None:
                         try:
-                            self._transport.sendto(data, split(address))
+                            self._transport.sendto(data, place_of(address))
                         except (OSError, ValueError):  # an address that someone made up
                             self.counts["could not send"] += 1
                 case Exchange(address):
@@ -240,7 +242,7 @@
         try:
             async with asyncio.timeout(WITHIN_S):
                 reader, writer = await asyncio.open_connection(
-                    *split(address), local_addr=(self.options.listen[0], 0), limit=256 * 1024
+                    *place_of(address), local_addr=(self.options.listen[0], 0), limit=256 * 1024
                 )
                 await self._write(writer)
                 state = await self._read(reader)
@@ -328,7 +330,7 @@
             rows.append(Seen(me.name, True, 0, me.tags.get("site", "")))
         for name, known in self.member.known.items():
             record = known.record
-            if record.state != STATES.index("left"):
+            if record.state != LEFT:
                 rows.append(Seen(name, known.there, known.since, record.tags.get("site", ""), record.by))
         return rows
 
--- a/oakbridge/peers/simulated.py
+++ b/oakbridge/peers/simulated.py
@@ -41,7 +41,6 @@
     up: bool = True
     frozen: bool = False
     starved: float = 0.0  # every time-slice is taken away for up to this many microseconds
-    ready: int = 0  # when it runs again
     wakes: int = 0
     inbox: list[tuple[str, Message]] | None = None
 
@@ -203,10 +202,6 @@
 
     # ---- what can be asked
 
-    def truth(self) -> dict[str, bool]:
-        """Who is there."""
-        return {name: host.up for name, host in self.hosts.items()}
-
     def wrong(self, part: set[str] | None = None) -> int:
         """Pairs (who, about whom) where the view is not the truth; within a part that is cut off: its truth."""
         there = {n for n, h in self.hosts.items() if h.up and (part is None or n in part)}
--- a/oakbridge/peers/snapshot.py
+++ b/oakbridge/peers/snapshot.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import json
-import os
 from dataclasses import dataclass
 from pathlib import Path
 
 from oakbridge.peers.record import MAX_NAME, MAX_TAG
+from oakbridge.sources.files import write_whole
 
 MAX_BYTES = 4 * 1024 * 1024
 MOST_SEEDS = 64
@@ -52,19 +52,5 @@
 
 
 def save(path: Path, snapshot: Snapshot) -> None:
-    """Write it whole: a temporary file, fsync, rename, fsync of the folder.  Raises OSError."""
-    temporary = path.with_name(f".{path.name}.{os.getpid()}")
-    data = json.dumps({"life": snapshot.life, "members": snapshot.members}).encode()
-    try:
-        with temporary.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        temporary.replace(path)
-    finally:
-        temporary.unlink(missing_ok=True)
-    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
+    """Write it whole.  Raises OSError."""
+    write_whole(path, json.dumps({"life": snapshot.life, "members": snapshot.members}).encode())
--- a/oakbridge/sources/files.py
+++ b/oakbridge/sources/files.py
@@ -181,6 +181,11 @@
         parts.append(json.dumps(row))
     data = "\n".join(parts).encode() + b"\n"
     data += b"# sha256: " + hashlib.sha256(data).hexdigest().encode() + b"\n"
+    write_whole(path, data, write)
+
+
+def write_whole(path: Path, data: bytes, write: Callable[[int, memoryview], int] = os.write) -> None:
+    """A temporary file, fsync, rename, fsync of the directory.  Raises OSError, and then nothing has changed."""
     temporary = path.with_name(f".{path.name}.{os.getpid()}.tmp")
     path.parent.mkdir(mode=0o700, parents=True, exist_ok=True)
     fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
--- a/tests/lab/test_pure.py
+++ b/tests/lab/test_pure.py
@@ -6,8 +6,10 @@
 import pytest
 
 from oakbridge.config.load import BadFile
+from oakbridge.lab.bench import Bench
 from oakbridge.lab.checks import FIGURES, NEVER, judge
 from oakbridge.lab.course import course_of, fleet_of
+from oakbridge.lab.front import Front
 from oakbridge.lab.history import Done, History, ViewChange, changes_of
 from oakbridge.lab.links import Links, Rule
 from oakbridge.lab.plan import load_plan, smaller
@@ -303,3 +305,26 @@
         '{"member": "n1", "at_us": 50',
     ]
     assert changes_of(lines, "n0", 2 * S) == [ViewChange(3 * S, "n0", "n1", "alive", "failed")]
+
+
+def test_a_bench_works_queues_and_turns_away(plan):
+    servers = plan.servers.model_copy(update={"workers": 2, "queue": 2, "cold": 0.25, "cold_for": 4 * S})
+    bench: Bench[str] = Bench(servers, 1.0, "seed")
+    came = [bench.come(job, 0.0) for job in "abcde"]
+    assert [t if t is None else bool(t) for t in came] == [True, True, False, False, None]
+    job, takes = bench.done(1.0, lambda waited: waited == "c")
+    assert job == "d" and takes > 0
+    assert bench.done(1.0, lambda _: False) is None
+    bench.cold_since = 10.0
+    assert [bench.warmth(at) for at in (10.0, 12.0, 14.0, 99.0)] == [0.25, 0.625, 1.0, 1.0]
+
+
+def test_a_front_deals_by_weight_and_shuns_for_a_while():
+    rng, shunned = random.Random(1), {}
+    front = Front([0, 1, 2], {0: 1.0, 1: 3.0, 2: 0.0}, shunned)
+    picks = [front.pick(0.0, (), rng) for _ in range(4000)]
+    assert 2.6 < picks.count(1) / picks.count(0) < 3.4 and 2 not in picks
+    front.shun(1, 0.0)
+    assert {front.pick(1.0, (), rng) for _ in range(50)} == {0}
+    assert front.pick(1.0, {0, 2}, rng) is None
+    assert front.pick(3.0, {0}, rng) == 1
--- a/tests/members/test_sockets.py
+++ b/tests/members/test_sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 import pytest
 
@@ -9,7 +10,9 @@
 from oakbridge.config.peers import peers_options
 from oakbridge.peers import snapshot as snap
 from oakbridge.peers.member import Options
+from oakbridge.peers.record import Record
 from oakbridge.peers.shell import Peers, PeersOptions
+from oakbridge.peers.wire import GOSSIP, Message
 
 QUICK = Options(period=60_000, probe_timeout=25_000, gossip=20_000, reach=200_000)
 
@@ -63,6 +66,44 @@
     asyncio.run(_meets(17_901, tmp_path))
 
 
+async def _told_of_seeds(port: int) -> None:
+    first, late = member(0, port), member(1, port)
+    late.options = replace(late.options, seeds=(), more_seeds=True)
+    await first.start()
+    await late.start()
+    assert late.member.starting  # whether there is anybody is not known yet
+    late.seed([("127.0.77.1", port)])
+    await until(lambda: late.member.alive() == ["n0"] and first.member.alive() == ["n1"])
+    late.seed([])
+    assert not late.member.starting and late.member.alive() == ["n0"]
+    alone = member(2, port)
+    alone.options = replace(alone.options, seeds=(), more_seeds=True)
+    await alone.start()
+    alone.seed([])
+    assert not alone.member.starting
+    for one in (first, late, alone):
+        one.close()
+
+
+def test_members_to_join_by_may_be_told_later():
+    asyncio.run(_told_of_seeds(17_903))
+
+
+async def _made_up_addresses(port: int) -> None:
+    one = member(0, port)
+    await one.start()
+    for n, address in enumerate(("localhost:1", "127.0.0.1:x", "", "127.0.0.1:70000")):
+        news = Record(f"m{n}", address, 1, 1, 0, 0)
+        one._carry(one.member.receive(0, "127.0.77.9:1", Message(GOSSIP, 0, "m9", 1, 0, "", "", (news,))))
+    await until(lambda: one.counts["could not send"] >= 8)
+    assert set(one.member.known) == {"m0", "m1", "m2", "m3"}
+    one.close()
+
+
+def test_an_address_with_a_name_is_not_looked_up():
+    asyncio.run(_made_up_addresses(17_904))
+
+
 async def _nonsense(port: int) -> None:
     one = member(0, port)
     await one.start()
