Search every order of three members, heed others' word on failing servers, and tell drift

peers/interleavings: explicit-state search of three members with loss, doubling, reordering, lateness, a crash, restarts and a leave, from six beginnings; planted faults break each invariant.

peers/voices: one divided voice a member, a lone one counts for nothing; the module takes it as Doubted, and one failure of its own then puts a server out in place of two. By word alone nothing changes. Attempt lives beside Server: policy has no import circle any more.

--- a/oakbridge/agent/file.py
+++ b/oakbridge/agent/file.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -30,6 +30,7 @@
     certificate: Path  # without its ending
     instances: dict[str, list[str]]
     zone: str = ""
+    members: dict[str, str] = field(default_factory=dict)  # an instance's address among members
 
 
 class _Reader:
@@ -37,6 +38,7 @@
 
     def __init__(self, path: Path, raw: dict[str, Any]) -> None:
         self.path, self.raw = path, raw
+        self.members: dict[str, str] = {}
         self.problems = [
             f"{path}: {key}: unknown key; expected one of {', '.join(KEYS)}" for key in raw if key not in KEYS
         ]
@@ -84,6 +86,9 @@
             for each in listen:
                 self.address(each, f"{what}listen")
             found[name] = [str(each) for each in listen]
+            if "member" in row:
+                self.address(row["member"], f"{what}member")
+                self.members[name] = str(row["member"])
         return found
 
 
@@ -100,7 +105,7 @@
         reader.text(raw, "name"), reader.text(raw, "fleet"), reader.address(raw.get("listen"), "listen"),
         beside / reader.text(raw, "state"), beside / reader.text(raw, "authority"),
         beside / reader.text(raw, "certificate"), reader.instances(),
-        reader.text(raw, "zone") if "zone" in raw else "",
+        reader.text(raw, "zone") if "zone" in raw else "", reader.members,
     )  # fmt: skip
     if reader.problems:
         raise BadAgentFile("\n".join(reader.problems))
--- a/oakbridge/agent/host.py
+++ b/oakbridge/agent/host.py
@@ -34,8 +34,12 @@
         control: Path,
         log: Path,
         ended: Callable[[str], None],
+        member: tuple[str, str] | None = None,
     ) -> Running:
-        """Start a node; ``ended`` is called once, with how it ended.  Raises OSError."""
+        """Start a node; ``ended`` is called once, with how it ended.  Raises OSError.
+
+        ``member``: its name and address among members.
+        """
 
     def last_words(self, log: Path) -> str:
         """The last line of a node's log."""
--- a/oakbridge/agent/process.py
+++ b/oakbridge/agent/process.py
@@ -70,13 +70,20 @@
 
 
 def start(
-    config: Path, name: str, listen: list[str], control: Path, log: Path, ended: Callable[[str], None]
+    config: Path,
+    name: str,
+    listen: list[str],
+    control: Path,
+    log: Path,
+    ended: Callable[[str], None],
+    member: tuple[str, str] | None = None,
 ) -> Process:
     """Start a node.  Raises OSError."""
     if log.exists() and log.stat().st_size > LOG_MOST:
         os.replace(log, log.with_suffix(".old"))
     command = [sys.executable, "-m", "oakbridge.cli", "serve", "--config", str(config), "--name", name]
     command += [word for address in listen for word in ("--listen", address)] + ["--control", str(control)]
+    command += ["--member", *member] if member is not None else []
     with log.open("ab") as out:
         child = subprocess.Popen(
             command, stdin=subprocess.DEVNULL, stdout=out, stderr=out, start_new_session=True, cwd="/"
@@ -133,9 +140,10 @@
         control: Path,
         log: Path,
         ended: Callable[[str], None],
+        member: tuple[str, str] | None = None,
     ) -> Process:
         """Start a node.  Raises OSError."""
-        return start(config, name, listen, control, log, ended)
+        return start(config, name, listen, control, log, ended, member)
 
     def last_words(self, log: Path) -> str:
         """The last line of a node's log."""
--- a/oakbridge/agent/runner.py
+++ b/oakbridge/agent/runner.py
@@ -54,6 +54,8 @@
         self._timers: set[asyncio.TimerHandle] = set()
         self._looking: asyncio.Task[None] | None = None
         self.control = Path(spec["control"])
+        address = spec.get("member", "")
+        self.member = (f"{agent.name}/{name}", address) if address else None  # among members
 
     @property
     def log(self) -> Path:
@@ -142,7 +144,7 @@
         try:
             config = self.agent.store.current(self.name) / CONFIG
             self.process = self.agent.host.start(
-                config, self.name, self.spec["listen"], self.control, self.log, self._ended
+                config, self.name, self.spec["listen"], self.control, self.log, self._ended, self.member
             )
         except OSError as e:
             asyncio.get_running_loop().call_soon(self._ended, f"it could not be started: {e}")
@@ -208,6 +210,7 @@
         return {
             "name": self.name,
             "listen": self.spec["listen"],
+            "member": self.spec.get("member", ""),
             "generation": r.current.number,
             "digest": r.current.digest,
             "previous": r.previous.number,
@@ -253,9 +256,12 @@
             managed.end()
         self.store.close()
 
-    def add(self, name: str, listen: list[str], control: Path) -> None:
-        """Have one more instance; it runs nothing until a step gives it a generation."""
-        spec = {"listen": listen, "control": str(control)}
+    def add(self, name: str, listen: list[str], control: Path, member: str = "") -> None:
+        """Have one more instance; it runs nothing until a step gives it a generation.
+
+        ``member``: its address among members, where its configuration makes it one; its name is ``AGENT/INSTANCE``.
+        """
+        spec = {"listen": listen, "control": str(control)} | ({"member": member} if member else {})
         if name not in self.store.instances():
             self.store.keep_instance(check_name(name, "instance"), spec, m.Record())
 
--- a/oakbridge/cli/agent.py
+++ b/oakbridge/cli/agent.py
@@ -30,7 +30,7 @@
     agent = Agent(store, given.name, given.fleet, given.zone)
     server = Server(tls, given.fleet, agent.answer)
     for name, listen in given.instances.items():
-        agent.add(name, listen, given.state / f"{name}.sock")
+        agent.add(name, listen, given.state / f"{name}.sock", given.members.get(name, ""))
     await server.start(given.listen)
     try:
         agent.begin()
--- a/oakbridge/cli/fleet.py
+++ b/oakbridge/cli/fleet.py
@@ -7,6 +7,7 @@
 import json
 import time
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,35 @@
 )
 
 
+def via_options(function: Callable[..., Any]) -> Callable[..., Any]:
+    """One member that tells of all of them, and the secret to ask it with."""
+    function = click.option(
+        "--secret-file", type=click.Path(path_type=Path), help="The members' secret, for --via."
+    )(function)
+    return click.option("--via", metavar="ADDRESS", help="A member that is asked for all that it knows.")(
+        function
+    )
+
+
+async def members_by(via: str, secret_file: Path | None, within: float = 5.0) -> list[dict[str, Any]]:
+    """Whom the member at this address knows.  Raises BadInput or Failed."""
+    from oakbridge.config.load import BadFile
+    from oakbridge.config.peers import read_secret
+    from oakbridge.node.listing import ConfigError, parse_address
+    from oakbridge.peers.visit import NotHeard, visit
+
+    if secret_file is None:
+        raise BadInput("--via: expected --secret-file with it")
+    try:
+        return await visit(parse_address(via), read_secret(secret_file), within)
+    except BadFile as e:
+        raise BadInput(str(e)) from None
+    except ConfigError as e:
+        raise BadInput(f"--via: {e}") from None
+    except NotHeard as e:
+        raise Failed(str(e)) from None
+
+
 @click.group("fleet")
 def command() -> None:
     """Many nodes: make a fleet and its certificates, see all of it, change it in waves."""
@@ -132,9 +162,24 @@
 @click.option(
     "--within", default=5.0, type=click.FloatRange(0.1, 120), help="Seconds to wait for each agent."
 )
+@via_options
 @click.option("--json", "as_json", is_flag=True, help="All of it, as JSON.")
-def status(folder: Path, operator: str, within: float, as_json: bool) -> None:
-    """Show every agent and every instance; exit code 1 if any of them is not known to be well."""
+def status(
+    folder: Path, operator: str, within: float, via: str | None, secret_file: Path | None, as_json: bool
+) -> None:
+    """Show every agent and every instance; exit code 1 if any of them is not known to be well.
+
+    With --via ADDRESS one member is asked instead, and no inventory is needed: what it knows of all others.
+    """
+    if via is not None:
+        members = asyncio.run(members_by(via, secret_file, within))
+        if as_json:
+            say_json({"via": via, "members": members})
+        else:
+            Console().print(members_view(members))
+        if any(m["state"] in ("suspect", "failed") for m in members):
+            raise click.exceptions.Exit(1)
+        return
     asker = operator_of(folder, operator, within)
     heard = asyncio.run(asker.ask_all(wire.Status()))
     rows = [row for h in heard for row in instances(h)]
@@ -216,6 +261,25 @@
     return [{"agent": heard.agent, "health": health(row), **row} for row in heard.answer["instances"]]
 
 
+def members_view(members: list[dict[str, Any]]) -> Group:
+    """What one member knows of all, for people."""
+    table = Table(box=box.SIMPLE_HEAD, pad_edge=False)
+    for name in ("member", "site", "state", "by", "address", "version"):
+        table.add_column(name, no_wrap=True, overflow="ellipsis", max_width=28)
+    for row in members:
+        style = "green" if row["state"] == "alive" else "dim" if row["state"] == "left" else "red"
+        table.add_row(
+            row["name"],
+            row["site"],
+            Text(row["state"], style=style),
+            row["by"],
+            row["address"],
+            row["version"],
+        )
+    counts = Counter(row["state"] for row in members)
+    return Group(table, Text(", ".join(f"{n} {word}" for word, n in counts.most_common())))
+
+
 def fleet_view(heard: list[Heard], rows: list[dict[str, Any]], all_rows: bool = True) -> Group:
     """The fleet for people, within 80 columns: instances, then agents that do not answer, then the sum."""
     table = Table(box=box.SIMPLE_HEAD, pad_edge=False)
--- a/oakbridge/cli/peers.py
+++ b/oakbridge/cli/peers.py
@@ -79,4 +79,7 @@
         table.add_row(
             row["name"], row["site"], state, since, row["by"], str(row["incarnation"]), row["version"]
         )
+    for row in told["doubted"]:
+        worth = f"weight {row['weight']}" if row["weight"] else "one voice counts for nothing"
+        head.add_row(Text("doubted", style="bold"), f"{row['server']} by {', '.join(row['by'])}: {worth}")
     return Group(head, table)
--- a/oakbridge/cli/rollout.py
+++ b/oakbridge/cli/rollout.py
@@ -20,7 +20,7 @@
 
 from oakbridge.agent.store import StoreError, check_files
 from oakbridge.cli.common import BadInput, Failed, say_json
-from oakbridge.cli.fleet import command, folder_option, operator_of, operator_option
+from oakbridge.cli.fleet import command, folder_option, members_by, operator_of, operator_option, via_options
 from oakbridge.cli.rollout_view import picture
 from oakbridge.fleet import pki, wire
 from oakbridge.fleet.ask import Held, Operator
@@ -446,9 +446,14 @@
 @command.command("doctor")
 @folder_option
 @operator_option
+@via_options
 @click.option("--json", "as_json", is_flag=True, help="As JSON.")
-def doctor(folder: Path, operator: str, as_json: bool) -> None:
-    """Say what is wrong with the fleet and what to do about it; exit code 1 if anything is."""
+def doctor(folder: Path, operator: str, via: str | None, secret_file: Path | None, as_json: bool) -> None:
+    """Say what is wrong with the fleet and what to do about it; exit code 1 if anything is.
+
+    With --via also where the inventory and what the members know of each other differ.
+    """
+    members = None if via is None else asyncio.run(members_by(via, secret_file))
     asker, journal = operator_of(folder, operator, 5.0), open_journal(folder)
     heard = asyncio.run(asker.ask_all(wire.Status()))
     told = {
@@ -461,7 +466,7 @@
         except (pki.PkiError, OSError, ValueError):
             certificates[str(path.relative_to(folder))] = 0.0
     try:
-        found = examine(told, journal.entries(), time.time(), certificates)
+        found = examine(told, journal.entries(), time.time(), certificates, members)
     except JournalError as e:
         raise BadInput(str(e)) from None
     if as_json:
--- a/oakbridge/cli/serve.py
+++ b/oakbridge/cli/serve.py
@@ -48,6 +48,7 @@
     workers: int | None = None
     worker: int = 0  # which of them this process is; 0: none
     log_format: str = "text"
+    member: tuple[str, str] | None = None  # name and address among members, in place of the file's
 
     def load(self) -> Loaded:
         """The configuration with all that goes before it, a worker's with its part of it.
@@ -75,7 +76,8 @@
         if self.worker:
             config = parts[self.worker - 1]
             control = worker_socket(control, self.worker) if control is not None else None
-        return replace(loaded, config=config, control=control)
+        member = self.member and (self.member[0], parse_address(self.member[1]))
+        return replace(loaded, config=config, control=control, member=member)
 
     def command(self, worker: int, workers: int, channel: int) -> list[str]:
         """How a worker's process is started."""
@@ -157,14 +159,15 @@
         yield None
         return
     from oakbridge.config.peers import peers_options, seeds_file
-    from oakbridge.peers.beside import Seeds, facts, placed
+    from oakbridge.peers.beside import Seeds, doubted, facts, placed
     from oakbridge.peers.shell import Peers
     from oakbridge.peers.snapshot import BadSnapshot
 
     try:
         options = peers_options(loaded)
         assert options is not None
-        held = Peers(options) if node is None else Peers(options, facts(node), placed(node))
+        ties = () if node is None else (facts(node), placed(node), doubted(node))
+        held = Peers(options, *ties)
         await held.start()
     except (BadFile, BadSnapshot) as e:
         raise ConfigError(str(e)) from None
@@ -239,6 +242,13 @@
     type=click.IntRange(1, 64),
     help="Processes on the port, in place of the file's node.workers.",
 )
+@click.option(
+    "--member",
+    nargs=2,
+    default=None,
+    metavar="NAME ADDRESS",
+    help="Its name and address among members, in place of the file's: one file then serves many nodes.",
+)
 @click.option("--worker", default=0, hidden=True)
 @click.option("--channel", type=int, hidden=True)
 @log_option
@@ -248,6 +258,7 @@
     listen: tuple[str, ...],
     socket_path: Path | None,
     workers: int | None,
+    member: tuple[str, str] | None,
     worker: int,
     channel: int | None,
     log_format: str,
@@ -260,7 +271,7 @@
         if not os.environ.get("NODE_CONFIG"):
             raise BadInput("serve: expected --config FILE (docs/getting-started.md has one to begin with)")
         raise click.exceptions.Exit(serve_platform())
-    given = Given(path, name, listen, socket_path, workers, worker, log_format)
+    given = Given(path, name, listen, socket_path, workers, worker, log_format, member)
     try:
         loaded = given.load()
     except (BadFile, ConfigError) as e:
--- a/oakbridge/config/load.py
+++ b/oakbridge/config/load.py
@@ -45,6 +45,9 @@
     config: Config
     control: Path | None  # of the control socket
     digest: str  # of the file's bytes
+    member: tuple[str, tuple[str, int]] | None = (
+        None  # name and address among members, in place of the file's
+    )
 
 
 def load(path: Path) -> Loaded:
--- a/oakbridge/config/peers.py
+++ b/oakbridge/config/peers.py
@@ -23,10 +23,13 @@
     tags = {"site": table.site or loaded.file.node.zone[:48], "tier": table.tier, "version": __version__}
     if table.capacity:
         tags["capacity"] = f"{table.capacity:g}"
-    member = Options(period=table.period, probe_timeout=table.probe_timeout, most=table.most)
+    member = Options(
+        period=table.period, probe_timeout=table.probe_timeout, most=table.most, local_health=table.local_health
+    )  # fmt: skip
+    name, listen = loaded.member or (loaded.config.name, table.listen)
     return PeersOptions(
-        name=loaded.config.name,
-        listen=table.listen,
+        name=name,
+        listen=listen,
         secret=read_secret(resolved(table.secret_file, loaded.path)),
         advertise=table.advertise,
         seeds=tuple(table.seeds),
--- a/oakbridge/config/schema.py
+++ b/oakbridge/config/schema.py
@@ -247,6 +247,9 @@
     probe_timeout: Time = Field(
         200_000, description="Without an answer for so long, others are asked to probe."
     )
+    local_health: bool = Field(
+        True, description="Whether it judges others more slowly while it is slow itself; off only to compare."
+    )
 
     @model_validator(mode="after")
     def _fits(self) -> PeersTable:
--- a/oakbridge/lab/conduct.py
+++ b/oakbridge/lab/conduct.py
@@ -234,7 +234,7 @@
                 "[peers]", f'listen = "{host(NODE_NET, number)}:{slot.port(MEMBER)}"',
                 f'advertise = "{host(SWITCH_NET, number)}:{slot.port(MEMBER_SWITCH)}"', 'secret_file = "secret"',
                 f"seeds = [{', '.join(seeds)}]", f'snapshot = "{node.name}.members"', 'tier = "front"',
-                f'period = "{plan.peers_period}us"',
+                f'period = "{plan.peers_period}us"', plan.peers_settings,
             ]  # fmt: skip
         rows.append("[servers]")
         rows += [
--- a/oakbridge/lab/plan.py
+++ b/oakbridge/lab/plan.py
@@ -133,6 +133,7 @@
     checks: list[CheckTable] = Field([], alias="check", max_length=100)
     settings: str = Field("", description="More of each node's oakbridge.toml, as it stands.")
     peers: bool = Field(True, description="Whether the nodes know each other.")
+    peers_settings: str = Field("", description="More of each node's [peers], as it stands.")
     peers_period: Time = Field(500_000, description="Each node's peers.period.")
 
     @model_validator(mode="after")
--- a/oakbridge/peers/beside.py
+++ b/oakbridge/peers/beside.py
@@ -1,4 +1,4 @@
-"""What ties a member to the node beside it: facts out, places in, and a watched file of members to join by."""
+"""What ties a member to the node beside it: facts out, places and doubts in; a watched file of members to join by."""
 
 from __future__ import annotations
 
@@ -24,6 +24,11 @@
     return lambda place: node.post(api.Placed(place.index, place.of))
 
 
+def doubted(node: Node) -> Callable[[dict[str, float]], None]:
+    """Offers others' word on failing servers to the module."""
+    return lambda servers: node.post(api.Doubted(servers))
+
+
 class Seeds:
     """Members to join by, from a watched server file: the names in it count for nothing."""
 
--- a/oakbridge/peers/courses.py
+++ b/oakbridge/peers/courses.py
@@ -14,6 +14,7 @@
 
 S = 1_000_000
 QUIET = 40 * S  # in which views must become the truth
+AGREED = 6  # half seconds in which they have to stay it
 OPTIONS = Options(period=200_000, probe_timeout=80_000, gossip=60_000, reach=800_000, exchange=4_000_000)
 
 
@@ -60,10 +61,14 @@
         for name in self.names[:2]:  # the seeds: without them and a snapshot nobody can find anybody
             if name not in fleet.hosts or not fleet.hosts[name].up or fleet.hosts[name].member.left:
                 self.start(name)
+        agreed = 0
         for _ in range(QUIET // S * 2):
             fleet.run(fleet.now + S // 2)
             self.look()
-        self.end()
+            agreed = 0 if self.apart() else agreed + 1
+            if agreed == AGREED:
+                break
+        self.found.broken += self.apart()
         return self.found
 
     def start(self, name: str) -> None:
@@ -123,8 +128,9 @@
                     self.found.broken.append(f"{who} calls {about} {STATES[known.record.state]}, which left")
                 self.keys[host.member.me.token, about] = key
 
-    def end(self) -> None:
-        """What must hold once all has been quiet for long."""
+    def apart(self) -> list[str]:
+        """Where views are not the truth, as they must be once all has been quiet for long."""
+        found: list[str] = []
         up = {
             n for n, h in self.fleet.hosts.items() if h.up and not h.member.left and h.member.replaced is None
         }
@@ -132,11 +138,12 @@
             member = self.fleet.hosts[who].member
             held = set(member.alive()) | {who}
             if held != up:
-                self.found.broken.append(f"{who} holds {sorted(held)} for alive, and {sorted(up)} are")
+                found.append(f"{who} holds {sorted(held)} for alive, and {sorted(up)} are")
             for about in sorted(up - {who}):
                 record, truth = self.fleet.record(who, about), self.fleet.hosts[about].member.me
                 if record is not None and record.state == ALIVE and record.self_key != truth.self_key:
-                    self.found.broken.append(f"{who} holds an older life of {about}")
+                    found.append(f"{who} holds an older life of {about}")
         for name, host in self.fleet.hosts.items():
             if host.up and host.member.replaced is not None:
-                self.found.broken.append(f"{name} gave its name up, and nobody else has it")
+                found.append(f"{name} gave its name up, and nobody else has it")
+        return found
--- a/oakbridge/peers/shell.py
+++ b/oakbridge/peers/shell.py
@@ -12,7 +12,6 @@
 import logging
 import random
 import socket
-import struct
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -25,11 +24,13 @@
 
 from oakbridge.node.listing import Address, parse_address
 from oakbridge.peers import snapshot as snap
+from oakbridge.peers.framing import read_state, write_state
 from oakbridge.peers.member import Action, Changed, Exchange, Member, Options, Replaced, Send
 from oakbridge.peers.places import Place, Places
 from oakbridge.peers.record import LEFT, STATES
 from oakbridge.peers.stance import Seen, Stance, stance
-from oakbridge.peers.wire import MAX_STATE, Codec, Dropped, State
+from oakbridge.peers.voices import Doubt, doubts
+from oakbridge.peers.wire import Codec, Dropped, State
 
 log = logging.getLogger(__name__)
 
@@ -41,7 +42,6 @@
 FACTS_EVERY = 4  # looks
 SAVE_S = 10.0
 LEAVE_S = 1.0  # what a leaving member takes to say so
-LENGTH = struct.Struct("!I")
 RECEIVE_BUFFER = 1024 * 1024
 
 
@@ -77,14 +77,19 @@
         options: PeersOptions,
         facts: Callable[[], tuple[int, int, tuple[str, ...]]] | None = None,
         placed: Callable[[Place], None] | None = None,
+        doubted: Callable[[dict[str, float]], None] | None = None,
     ) -> None:
-        """``facts``: requests out, servers in use, servers that fail; ``placed`` hears of each new place."""
+        """``facts``: requests out, servers in use, servers that fail; ``placed`` hears of each new place.
+
+        ``doubted`` hears every two seconds how much others' word says of servers that they find failing.
+        """
         self.options, self.codec = options, Codec(options.secret)
         self.places = Places(options.name)
         self.stance: Stance | None = None
         self.counts: Counter[str] = Counter()
         self.longest_turn = 0.0  # seconds
-        self._facts, self._placed = facts, placed
+        self._facts, self._placed, self._doubted = facts, placed, doubted
+        self.doubts: dict[str, Doubt] = {}
         self._address = text(options.advertise or options.listen)
         self._random = random.Random()
         self._seeds: tuple[str, ...] = ()
@@ -275,14 +280,10 @@
     async def _write(self, writer: asyncio.StreamWriter) -> None:
         data = self.codec.write_state(self.member.state())
         self.counts["bytes exchanged"] += len(data)
-        writer.write(LENGTH.pack(len(data)) + data)
-        await writer.drain()
+        await write_state(writer, data)
 
     async def _read(self, reader: asyncio.StreamReader) -> State:
-        (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
-        if length > MAX_STATE:
-            raise ValueError(f"expected at most {MAX_STATE} bytes")
-        return self.codec.read_state(await reader.readexactly(length))
+        return self.codec.read_state(await read_state(reader))
 
     async def _take(self, state: State, asked: bool) -> None:
         """In pieces, so that no turn of the loop is long."""
@@ -299,8 +300,10 @@
     async def _looking(self) -> None:
         for number in itertools.count():
             self._look()
-            if self._facts is not None and number % FACTS_EVERY == 0:
-                self._carry(self.member.set_fact(self._now(), *self._facts()))
+            if number % FACTS_EVERY == 0:
+                if self._facts is not None:
+                    self._carry(self.member.set_fact(self._now(), *self._facts()))
+                self._listen()
             await asyncio.sleep(LOOK_S)
 
     def _look(self) -> None:
@@ -323,6 +326,15 @@
             if self._placed is not None:
                 self._placed(place)
 
+    def _listen(self) -> None:
+        """What others find failing."""
+        now, kind = self._now(), self.stance.kind if self.stance is not None else "starting"
+        facts = [fact for name in self.member.alive() if (fact := self.member.fact(name, now)) is not None]
+        self.doubts = doubts(kind, facts, self.options.name)
+        weighed = {server: doubt.weight for server, doubt in self.doubts.items() if doubt.weight}
+        if weighed and self._doubted is not None:
+            self._doubted(weighed)
+
     def seen(self) -> list[Seen]:
         """All members as they are held, but for those that left."""
         me, rows = self.member.me, []
@@ -376,6 +388,15 @@
             "kind": None if self.stance is None else self.stance.kind,
             "place": None if place is None else [place.index, place.of],
             "health": self.member.health,
+            "doubted": [
+                {
+                    "server": server,
+                    "weight": round(d.weight, 2),
+                    "voices": round(d.voices, 2),
+                    "by": list(d.by[:8]),
+                }
+                for server, d in sorted(self.doubts.items(), key=lambda item: (-item[1].weight, item[0]))
+            ],
             "members": rows,
             "counts": {
                 **self.counts,
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -15,7 +15,16 @@
 from typing import Any
 
 from oakbridge.policy import vocabulary as api
-from oakbridge.policy.membership import EJECT_FOR, LOOKS, SCORE_LOW, Membership, Server, Side, shuffled
+from oakbridge.policy.membership import (
+    EJECT_FOR,
+    LOOKS,
+    SCORE_LOW,
+    Attempt,
+    Membership,
+    Server,
+    Side,
+    shuffled,
+)  # fmt: skip
 from oakbridge.policy.retry_budget import SECOND, RetryBudget
 from oakbridge.policy.vocabulary import GONE, KEYED, NEVER_RAN, SAFE, UNSAFE, UP, Result
 
@@ -25,6 +34,7 @@
 BAD_RATE, OK_RATE = 0.7, 0.01
 SCORE_EJECT, SCORE_HIGH = 2.5, 5.0
 EJECT_MOST, EJECT_SHARE = 16 * SECOND, 0.34  # never more than that share of the tier
+DOUBTED = 5 * SECOND  # others' word on a server holds for so long; it comes anew every two
 HANG_MEANS = 4.0  # a call out for so many mean latencies, while newer ones elsewhere were answered, is a hang
 COVER, WIDEN_AT, NARROW_AT = 5, 1.0, 0.25  # subset: members a server, over all copies; own calls a member
 REPORT_TRUST, CROSSING = 0.5, 2.0  # of a reported waiting request against an own call; of a server elsewhere
@@ -40,17 +50,6 @@
 LIFO_AFTER, START_EACH, START_MANY = 0.2, 12.0, 3.5  # of the time to the aim; calls a server at the start
 
 
-class Attempt:
-    """One attempt of a request."""
-
-    __slots__ = ("server", "sent", "result", "answers", "where", "off")
-
-    def __init__(self, server: Server, sent: int, answers: int) -> None:
-        self.server, self.sent, self.answers, self.where = server, sent, answers, (server.zone, server.cell)
-        self.result: Result | None = None
-        self.off = False  # called off to go elsewhere
-
-
 class Call:
     """One request that is owed a final answer."""
 
@@ -118,6 +117,10 @@
             self.rate -= 0.02 * self.rate
             return
         s.score = self.score(s, now)
+        if (
+            failed and now < s.doubted_until
+        ):  # others find it failing as well: fewer failures of our own are enough
+            s.score = max(s.score, SCORE_LOW * (1 - s.doubt))
         s.scored_at = now
         p = min(max(self.rate, OK_RATE), 0.95)
         bad = max(BAD_RATE, p)
@@ -304,7 +307,7 @@
             api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.TimerFired: self.on_timer,
             api.ClientGone: self.on_gone, api.StreamStarted: self.on_gone, api.ServerList: self.on_list,
             api.Upcoming: self.on_upcoming, api.BodySent: self.on_body_sent, api.SettingsChanged: self.tune,
-            api.Elsewhere: self.on_elsewhere,
+            api.Elsewhere: self.on_elsewhere, api.Doubted: self.on_doubted,
         }  # fmt: skip
         self.must_ask = settings.must_ask
         self.sized = settings.size_source in (api.NOMINAL, api.ROUGH)  # a live size echoes what copies did
@@ -702,6 +705,12 @@
         self.elsewhere = event.out
         self.dispatch(now)
 
+    def on_doubted(self, now: int, event: api.Doubted) -> None:
+        """What others find failing is put out by fewer failures of our own; by word alone nothing changes."""
+        for name, doubt in event.servers.items():
+            if server := self.servers.get(name):
+                server.doubt, server.doubted_until = min(1.0, doubt), now + DOUBTED
+
     def free(self, server: Server, key: tuple[int, int], now: int) -> None:
         """The server is done with a call."""
         del server.out[key]
--- a/oakbridge/policy/membership.py
+++ b/oakbridge/policy/membership.py
@@ -11,13 +11,10 @@
 import math
 import random
 from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from oakbridge.policy import vocabulary as api
 
-if TYPE_CHECKING:
-    from oakbridge.policy.balancer import Attempt
-
 SECOND = 1_000_000
 SCORE_LOW, EJECT_FOR = -2.0, SECOND
 SMALL = 32  # a side of so many members is looked at in full
@@ -30,7 +27,7 @@
     __slots__ = ("id", "zone", "cell", "size", "started", "out", "score", "scored_at", "ejected_until",
                  "eject_for", "last_sent", "tokens", "tokens_at", "cap", "answered", "slowness",
                  "paced", "queued", "reported", "gone", "joined", "place", "side", "pool",
-                 "slot")  # fmt: skip
+                 "slot", "doubt", "doubted_until")  # fmt: skip
 
     def __init__(self, entry: api.ListedServer, size: float = 1.0) -> None:
         self.id = entry.id
@@ -50,6 +47,7 @@
             self.started, self.place = entry.started, entry.place
             self.score, self.scored_at = SCORE_LOW, 0
             self.ejected_until, self.eject_for = 0, EJECT_FOR
+            self.doubt, self.doubted_until = 0.0, 0  # by others' word, 0 to 1
             self.tokens, self.tokens_at = 0.0, -1
             self.slowness, self.paced = 1.0, 0  # see Balancer.slowness
             self.cap = math.inf  # own calls out that it takes, once it has turned one away
@@ -59,6 +57,17 @@
         return group == "all" or (self.zone == where[0] if group == "zone" else self.cell == where[1])
 
 
+class Attempt:
+    """One attempt of a request."""
+
+    __slots__ = ("server", "sent", "result", "answers", "where", "off")
+
+    def __init__(self, server: Server, sent: int, answers: int) -> None:
+        self.server, self.sent, self.answers, self.where = server, sent, answers, (server.zone, server.cell)
+        self.result: api.Result | None = None
+        self.off = False  # called off to go elsewhere
+
+
 class Pool:
     """Servers to draw from: one by size in constant time, by rejection inside groups of like size."""
 
--- a/oakbridge/policy/vocabulary.py
+++ b/oakbridge/policy/vocabulary.py
@@ -222,6 +222,13 @@
     of: int
 
 
+@dataclass(slots=True)
+class Doubted:
+    """Servers that other copies find failing, and how much that says, 0 to 1, where members tell it."""
+
+    servers: dict[str, float]
+
+
 @dataclass(slots=True)
 class ServerList:
     """Discovery's view: the whole list, or changes to the one held.  ``lost``: asking failed."""
@@ -336,6 +343,7 @@
     ServerList
     | SettingsChanged
     | Placed
+    | Doubted
     | Elsewhere
     | Upcoming
     | Request
--- a/oakbridge/rollout/conduct.py
+++ b/oakbridge/rollout/conduct.py
@@ -206,10 +206,11 @@
     async def _order(self, target: Target, order: wire.StepOrder) -> Heard:
         heard = await self.operator.ask(target.agent, order)
         self.listener.look(target.agent)
-        if heard.status == 409 and self.held.token != order.token:
-            return Heard(
-                target.agent, error="our token has been raised meanwhile"
-            )  # sent again under the new one
+        if heard.status == 409:
+            async with self._raising:  # an agent may have the new token before we know that it is granted
+                raised = self.held.token != order.token
+            if raised:  # sent again under the new one
+                return Heard(target.agent, error="our token has been raised meanwhile")
         return heard
 
     async def _send(self, target: Target) -> None:
--- a/oakbridge/rollout/doctor.py
+++ b/oakbridge/rollout/doctor.py
@@ -29,12 +29,12 @@
 
 def examine(
     agents: Mapping[str, Mapping[str, Any] | str], entries: Sequence[Entry], now: float,
-    certificates: Mapping[str, float] | None = None,
+    certificates: Mapping[str, float] | None = None, members: Sequence[Mapping[str, Any]] | None = None,
 ) -> list[Finding]:  # fmt: skip
     """All findings, the bad ones first.
 
     ``agents``: what each answered, or why there is no answer; ``entries``: the journal, newest first;
-    ``certificates``: days that each certificate at hand is still good for.
+    ``certificates``: days that each certificate at hand is still good for; ``members``: whom a node knows.
     """
     found: list[Finding] = []
     for name, told in agents.items():
@@ -46,6 +46,8 @@
     for name, row in rows.items():
         found += _instance(name, row)
     found += _rollouts(entries, rows) + _versions(agents) + _leases(agents)
+    if members is not None:
+        found += _drift(agents, rows, members)
     for name, days in (certificates or {}).items():
         if days < CERTIFICATE_DAYS:
             word = f"is good for {days:.0f} more days" if days > 0 else "has run out"
@@ -128,3 +130,35 @@
         )
         for holder, n in held.items()
     ]
+
+
+def _drift(
+    agents: Mapping[str, Mapping[str, Any] | str],
+    rows: Mapping[str, Mapping[str, Any]],
+    members: Sequence[Mapping[str, Any]],
+) -> list[Finding]:
+    """Where the inventory and the members' own view differ."""
+    found, held = [], {str(m["name"]): m for m in members}
+    for name, row in rows.items():
+        if not row.get("member"):
+            continue
+        told = held.get(name)
+        if told is None or told["state"] in ("failed", "left"):
+            how = "do not know it" if told is None else f"call it {told['state']}"
+            by = f" by the word of {told['by']}" if told is not None and told["by"] else ""
+            if in_order(health(row)):
+                do = f"`oakbridge peers why {name}` at two sites; look whether UDP and TCP reach {row['member']}"
+                found.append(Finding(BAD, name, f"its agent finds it well, and the members {how}{by}", do))
+        elif told["address"] != row["member"]:
+            what = f"members know it at {told['address']}, its agent has it at {row['member']}"
+            found.append(Finding(NOTE, name, what, "restart it, or look who else has its name"))
+    for name, told in sorted(held.items()):
+        if told["state"] in ("failed", "left") or name in rows:
+            continue
+        if isinstance(agents.get(name.partition("/")[0]), str):
+            what = "its agent does not answer, and the members find it there"
+            found.append(Finding(NOTE, name, what, "the node serves; look at the agent"))
+        else:
+            what = f"a member at {told['address']} that no agent of the inventory runs"
+            found.append(Finding(NOTE, name, what, "add its agent to the inventory, or end it"))
+    return found
--- a/oakbridge/standin/host.py
+++ b/oakbridge/standin/host.py
@@ -94,6 +94,7 @@
         control: Path,
         log: Path,
         ended: Callable[[str], None],
+        member: tuple[str, str] | None = None,
     ) -> PlayedNode:
         """Start a node."""
         node = self.nodes[control] = PlayedNode(config, ended, self.rate, self.weak)
--- a/tests/members/test_fleet.py
+++ b/tests/members/test_fleet.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from oakbridge.peers import interleavings
 from oakbridge.peers.courses import Course
 from oakbridge.peers.member import Known, Member, Options
 from oakbridge.peers.record import FAILED
@@ -261,3 +262,25 @@
     fault(monkeypatch)
     broken = [line for seed in range(4) for line in Course(seed).play().broken]
     assert any(told in line for line in broken)
+
+
+@pytest.mark.parametrize("scene", sorted(interleavings.scenes()))
+def test_what_holds_in_every_order_of_three_members(scene):
+    report = interleavings.search(interleavings.scenes()[scene], 3, every=20)
+    assert report.broken == [] and len(report.states) > 50 and report.settled > 0
+
+
+@pytest.mark.parametrize(
+    ("fault", "scene", "told"),
+    [
+        (goes_back, "one of them is silent for a second", "went back"),
+        (never_refutes, "one is called failed, and lives", "of calm"),
+        (probes_who_left, "one has left, and is still there", "which left"),
+    ],
+)
+def test_a_planted_fault_breaks_an_order(monkeypatch, fault, scene, told):
+    begins = [interleavings.scenes()[scene]]
+    fault(monkeypatch)
+    begins.append(interleavings.scenes()[scene])  # a fault may show in what leads there
+    broken = [line for state in begins for line in interleavings.search(state, 4, every=20).broken]
+    assert any(told in line for line in broken)
--- a/tests/members/test_parts.py
+++ b/tests/members/test_parts.py
@@ -12,6 +12,7 @@
 from oakbridge.peers.record import ALIVE, FAILED, LEFT, SUSPECT, Fact, Record, merged
 from oakbridge.peers.stance import USES, Seen, stance
 from oakbridge.peers.suspicion import Suspicion, least
+from oakbridge.peers.voices import FRESH, doubts
 from oakbridge.peers.wire import GOSSIP, HEAD, MAX_DATAGRAM, NEWEST, PING, Codec, Dropped, Message
 
 S = 1_000_000
@@ -226,3 +227,31 @@
     assert places.now == place("n1", names)
     places.update(61 * S, whole, names[:3])
     assert places.update(65 * S, whole, names[:3]) == Place(place("n1", names[:3]).index, 3)
+
+
+def words(*said: str) -> list[tuple[Fact, int]]:
+    """``"a: x y"``: member a finds x and y failing."""
+    return [
+        (Fact(who, 1, 1, 0, 0, 0, tuple(servers.split())), S)
+        for who, _, servers in (w.partition(":") for w in said)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("said", "weight"),
+    [
+        (("a: x",), 0.0),  # a lone voice, be it a liar's or an ill member's
+        (("a: x", "a: x"), 0.0),  # which is one, however often it speaks
+        (("a: x", "b: x"), 0.5),
+        (("a: x", "b: x", "c: x", "d: x"), 1.0),
+        (("a: x y", "b: x y"), 0.5),
+        (("a: 1 2 3 4 5 6 7 x", "b: 1 2 3 4 5 6 7 x"), 0.0),  # who finds everything failing is likelier ill
+        (("a: 1 2 3 x", "b: x", "c: 1 2 3 x"), 0.5),
+        (("me: x", "a: x"), 0.0),  # one's own is not hearsay
+    ],
+)
+def test_what_words_on_a_failing_server_weigh(said, weight):
+    assert doubts("whole", words(*said), "me")["x"].weight == weight
+    assert doubts("parted", words(*said), "me")["x"].weight == weight
+    assert not doubts("alone", words(*said), "me") and not doubts("starting", words(*said), "me")
+    assert not doubts("whole", [(fact, FRESH + 1) for fact, _ in words(*said)], "me")
--- a/tests/members/test_sockets.py
+++ b/tests/members/test_sockets.py
@@ -5,13 +5,17 @@
 from dataclasses import replace
 
 import pytest
+from click.testing import CliRunner
 
+from oakbridge.cli.main import cli
+from oakbridge.cli.serve import Given
 from oakbridge.config.load import BadFile, load
 from oakbridge.config.peers import peers_options
 from oakbridge.peers import snapshot as snap
 from oakbridge.peers.member import Options
 from oakbridge.peers.record import Record
 from oakbridge.peers.shell import Peers, PeersOptions
+from oakbridge.peers.visit import NotHeard, visit
 from oakbridge.peers.wire import GOSSIP, Message
 
 QUICK = Options(period=60_000, probe_timeout=25_000, gossip=20_000, reach=200_000)
@@ -32,6 +36,25 @@
     return Peers(options, lambda: (n, 1, ("s-9",)))
 
 
+async def _visited(port: int, states: dict[str, str], tmp_path) -> None:
+    """One of them tells a stranger who has the secret of all, and nobody comes to know the stranger."""
+    told = await visit(("127.0.77.1", port), b"s" * 16)
+    assert {row["name"]: row["state"] for row in told} == states | {"n0": "alive"}
+    with pytest.raises(NotHeard, match="hung up"):
+        await visit(("127.0.77.1", port), b"t" * 16)
+    (tmp_path / "secret").write_text("s" * 16)
+    words = ["fleet", "status", "--via", f"127.0.77.1:{port}", "--secret-file", str(tmp_path / "secret")]
+    shown = await asyncio.to_thread(CliRunner().invoke, cli, words)
+    assert shown.exit_code == 1 and "4 alive, 1 failed, 1 left" in shown.output
+    for wrong, code, text in (
+        (words[:4], 2, "expected --secret-file"),
+        ([*words[:3], "nowhere", *words[4:]], 2, "--via: expected"),
+        ([*words[:3], "127.0.77.1:9", *words[4:]], 1, "127.0.77.1:9"),
+    ):
+        shown = await asyncio.to_thread(CliRunner().invoke, cli, wrong)
+        assert shown.exit_code == code and text in shown.output and "Traceback" not in shown.output
+
+
 async def _meets(port: int, tmp_path) -> None:
     peers = [member(n, port, snapshot=tmp_path / f"{n}.json") for n in range(6)]
     stranger = member(9, port, b"t" * 16)
@@ -49,7 +72,13 @@
             set(p.member.alive()) == {f"n{i}" for i in range(4)} - {p.options.name} for p in peers[:4]
         )
     )
+    heard: list[dict[str, float]] = []
+    peers[0]._doubted = heard.append
+    await until(lambda: heard)  # n1, n2 and n3 find it failing, which is all that voices can do
+    assert heard[0] == {"s-9": 1.0}
+    assert peers[0].describe()["doubted"][0]["by"] == ["n1", "n2", "n3"]
     states = {row["name"]: row["state"] for row in peers[0].describe()["members"]}
+    await _visited(port, states, tmp_path)
     assert (states["n5"], states["n4"]) == ("left", "failed")
     assert [c["after"] for c in peers[0].why("n4")] == ["alive", "suspect", "failed"]
     await until(lambda: (tmp_path / "4.json").exists())
@@ -195,3 +224,14 @@
     assert options.secret == b"s" * 16
     assert (options.tags["site"], options.tags["capacity"]) == ("z", "40")
     assert "s" * 16 not in repr(options)
+
+
+def test_one_file_serves_many_members(tmp_path):
+    (tmp_path / "s").write_text("0123456789abcdef")
+    (tmp_path / "o.toml").write_text(
+        '[servers]\nfile = "s.toml"\n[[class]]\nname = "a"\naim = "1s"\ndeadline = "2s"\n'
+        '[peers]\nlisten = "127.0.0.1:7946"\nsecret_file = "s"\n'
+    )
+    given = Given(tmp_path / "o.toml", "n", (), None, member=("h1/n", "127.0.0.9:7946"))
+    options = peers_options(given.load())
+    assert (options.name, options.listen) == ("h1/n", ("127.0.0.9", 7946))
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -171,6 +171,20 @@
     assert not late
 
 
+@pytest.mark.parametrize(("doubt", "failures"), [(0.0, 2), (0.4, 1), (1.0, 1), (9.0, 1)])
+def test_others_word_spares_own_failures_and_ejects_nobody(doubt, failures):
+    d = Driver(servers=4)
+    s = d.b.servers[d.serve(40)[-1]]
+    for _ in range(50):
+        d.b.handle(d.now, api.Doubted({s.id: doubt, "unheard of": 1.0}))
+    before = s.score
+    assert s.id in d.serve(40, gap=20_000) and s.score == before  # used as before
+    for _ in range(failures):
+        assert not s.ejected_until
+        d.b.health.note(s, True, d.now)
+    assert s.ejected_until > d.now
+
+
 def test_a_tier_slow_as_a_whole_ejects_nobody():
     d = Driver(servers=5)
     d.serve(60)
--- /dev/null
+++ b/tests/rollout/test_doctor.py
@@ -0,0 +1,67 @@
+"""What the doctor finds where the inventory and the members differ."""
+
+import pytest
+
+from oakbridge.agent.file import BadAgentFile, read
+from oakbridge.rollout.doctor import BAD, NOTE, examine
+
+WELL = {
+    "process": "running", "crash_loop": False, "change": "settled", "drained": False, "answers": True,
+    "node": {"ready": True, "servers": 1}, "generation": 1, "crashes": 0, "last_exit": "", "heard_s_ago": 0.1,
+    "outcomes": [], "digest": "d", "runs": 1,
+}  # fmt: skip
+
+
+def drift(instance, members, agents=None):
+    """Findings that members bring about."""
+    row = WELL | {"name": "n", "member": "10.0.0.1:1"} | instance
+    told = {
+        "h": {
+            "time": 0.0,
+            "instances": [row],
+            "version": "1",
+            "lease": {"alive": False, "token": 0, "holder": ""},
+        }
+    } | (agents or {})
+    before = examine(told, [], 0.0)
+    return [f for f in examine(told, [], 0.0, None, members) if f not in before]
+
+
+def member(name, state="alive", address="10.0.0.1:1", by=""):
+    return {"name": name, "state": state, "address": address, "by": by}
+
+
+@pytest.mark.parametrize(
+    ("instance", "members", "agents", "weight", "says"),
+    [
+        ({}, [], None, BAD, "do not know it"),
+        ({}, [member("h/n", "failed", by="x")], None, BAD, "call it failed by the word of x"),
+        ({}, [member("h/n", address="10.0.0.2:1")], None, NOTE, "members know it at 10.0.0.2:1"),
+        ({}, [member("h/n"), member("stray")], None, NOTE, "no agent of the inventory"),
+        ({}, [member("h/n"), member("g/n")], {"g": "no route"}, NOTE, "its agent does not answer"),
+        ({}, [member("h/n")], None, "", ""),
+        ({}, [member("h/n"), member("old", "left")], None, "", ""),
+        ({"member": ""}, [member("h/n", "failed")], None, "", ""),
+        (
+            {"answers": False, "process": "down", "node": {}},
+            [],
+            None,
+            "",
+            "",
+        ),  # both say that it is not there
+    ],
+)
+def test_where_inventory_and_members_differ(instance, members, agents, weight, says):
+    found = drift(instance, members, agents)
+    assert [f.weight for f in found] == ([weight] if weight else [])
+    assert all(says in f.what and f.do for f in found)
+
+
+def test_an_instance_has_an_address_among_members(tmp_path):
+    lines = 'name="h"\nfleet="f"\nlisten="127.0.0.1:1"\nstate="s"\nauthority="a"\ncertificate="c"\n'
+    path = tmp_path / "agent.toml"
+    path.write_text(lines + '[[instance]]\nname="n"\nlisten=["127.0.0.1:2"]\nmember="127.0.0.1:3"\n')
+    assert read(path).members == {"n": "127.0.0.1:3"}
+    path.write_text(lines + '[[instance]]\nname="n"\nlisten=["127.0.0.1:2"]\nmember="here"\n')
+    with pytest.raises(BadAgentFile, match=r"instance\[0\].member: expected"):
+        read(path)
