Let a woken member find the dead: news read before its late timers were put off by the freeze

With 200 real nodes one of twenty that woke after 40 s still held 18 dead ones for alive 29 s later. Its log: no verdict came. Cause: the loop reads a socket before it looks at timers; the suspicions that the first datagram began were then moved by the 40 s for which the process had not run. Whether it did not run is now looked at before anything else is done. A test fails without it; simulated processes wake in that order, too.

--- a/oakbridge/lab/history.py
+++ b/oakbridge/lab/history.py
@@ -52,12 +52,17 @@
         end = self.lasts + 3600_000_000
         starved = {n for step in self.done if step.do == "stop" for n in step.names} - set(self.course.failed)
         open_at: dict[str, int] = {}
+        dead: set[str] = set()  # one that is killed and frozen is not back once it is thawed
         found: dict[str, list[tuple[int, int]]] = {}
         for step in self.done:
             for name in step.names:
                 if step.do in ("kill", "stop") and name not in starved:
                     open_at.setdefault(name, step.at)
-                elif step.do in ("ready", "continue") and name in open_at:
+                if step.do == "kill":
+                    dead.add(name)
+                elif step.do == "ready":
+                    dead.discard(name)
+                if step.do in ("ready", "continue") and name in open_at and name not in dead:
                     found.setdefault(name, []).append((open_at.pop(name), step.at))
         for name, at in open_at.items():
             found.setdefault(name, []).append((at, end))
--- a/oakbridge/peers/member.py
+++ b/oakbridge/peers/member.py
@@ -1,6 +1,6 @@
 """One member: probes, suspicion, refutation, news.  Pure: messages and the time in, actions out.
 
-SWIM with Lifeguard's corrections, and five of our own, each for one of the ways in which members are wrong:
+SWIM with Lifeguard's corrections, and six of our own, each for one of the ways in which members are wrong:
 
 - A process that was frozen or starved of its processor finds all its time-outs past at once.  A timer that fires late
   moves all others by as much: time in which the process did not run does not count against others.
@@ -8,6 +8,7 @@
   kind, and the accused is told at once.  So two parts that were cut off from each other heal without calling their own
   neighbours failed.
 - How suspicions ended lately tells how long the next one lasts: on a lossy network they are refuted.
+- Whoever was called failed was told no news meanwhile: it asks for all that there is, until it has had it.
 - Members that failed are looked at now and then, one by one, so that a part that was cut off is found again.
 - A name that is taken by a later start: see ``record``.
 
@@ -36,6 +37,7 @@
 LEARN = 0.1
 RELAYS = 256  # indirect probes for others at once
 HISTORY = 8  # changes of one member that are kept, for `peers why`
+CATCH_UP = 1_000_000  # until it asks another one
 KNOCK_EVERY = 2_000_000  # at most one full exchange that is not due in so long
 LATE_PART = 0.4  # of the probe's time-out: a timer that fires later than this tells of a starved process
 ROOM = MAX_DATAGRAM - HEAD - 180  # for news; the rest are the fields of the longest names and addresses
@@ -98,7 +100,7 @@
 
 Action = Send | Exchange | Changed | Replaced
 Timer = Literal[
-    "probe", "ask", "give up", "suspicion", "gossip", "exchange", "reach", "relay", "join", "forget"
+    "probe", "ask", "catch up", "suspicion", "gossip", "exchange", "reach", "relay", "join", "forget"
 ]
 
 
@@ -152,6 +154,8 @@
         self.starting = True  # until a first exchange
         self.replaced: Record | None = None
         self.left = False
+        self._behind = False  # it was held for failed: others' news went past it
+        self._failed_as = -1  # the last incarnation in which it was
         self.counts: Counter[str] = Counter()
         self._seeds: list[str] = []
         self._tries = 0
@@ -242,12 +246,13 @@
         """A full exchange brought this; ``asked``: this member began it."""
         if self.left or self.replaced is not None:
             return self._done()
+        self._woke(now)
         for record in state.records:
             self._hear(now, record, state.sender, "full exchange")
         for fact in state.facts:
             self._hear_fact(now, fact)
         if asked:
-            self.starting = False
+            self.starting = self._behind = False
         return self._done()
 
     def exchange_failed(self, now: int, address: str) -> list[Action]:
@@ -259,6 +264,7 @@
         """A datagram."""
         if self.left or self.replaced is not None:
             return self._done()
+        self._woke(now)
         if message.sender == self.me.name:
             self.counts["own name"] += 1  # another of this name; records decide which one stays
             return self._done()
@@ -293,6 +299,16 @@
 
     def tick(self, now: int) -> list[Action]:
         """Time has come to ``due``, or is past it."""
+        self._woke(now)
+        while self._heap[0][0] <= now:
+            _, _, kind, key = heapq.heappop(self._heap)
+            self._fire(now, kind, key)
+        return self._done()
+
+    # ---- timers
+
+    def _woke(self, now: int) -> None:
+        """Look, before anything else is done, whether this process did not run: that time counts against nobody."""
         late = now - self._heap[0][0]
         if self.options.local_health and late > self.options.probe_timeout * LATE_PART:
             self.counts["late"] += 1
@@ -302,12 +318,6 @@
             for known in self.known.values():
                 if known.suspicion is not None:
                     known.suspicion.began += late
-        while self._heap[0][0] <= now:
-            _, _, kind, key = heapq.heappop(self._heap)
-            self._fire(now, kind, key)
-        return self._done()
-
-    # ---- timers
 
     def _at(self, when: int, kind: Timer, key: str | int = 0) -> None:
         self._timers += 1
@@ -345,6 +355,9 @@
                 asked = self._relays.pop(int(key), None)
                 if asked is not None and not over and (known := self.known.get(asked[0])) is not None:
                     self._send(known.record, NACK, asked[1], now)
+            case "catch up":
+                if self._behind and not over:
+                    self._catch_up(now)
             case "join":
                 if self.starting and not over:
                     self._join(now)
@@ -360,6 +373,12 @@
         self._tries += 1
         self._at(now + self._pause(min(5_000_000, 250_000 * 2 ** min(self._tries, 5))), "join")
 
+    def _catch_up(self, now: int) -> None:
+        """Ask one that is there for all that it knows, and another one if that comes to nothing."""
+        if self._there:
+            self._out.append(Exchange(self.known[self._random.choice(self._there)].record.address))
+        self._at(now + self._pause(CATCH_UP), "catch up")
+
     def _feel(self, change: int) -> None:
         if self.options.local_health:
             self.health = min(MOST_HEALTH, max(0, self.health + change))
@@ -517,6 +536,11 @@
         if record.self_key < mine.self_key:
             return self._tell(mine)
         if record.self_key == mine.self_key:
+            if record.state == FAILED and record.incarnation > self._failed_as:
+                self._failed_as = record.incarnation
+                if not self._behind:
+                    self._behind = True
+                    self._catch_up(now)
             if record.incarnation < mine.incarnation or (record.state == ALIVE and record == mine):
                 return
             if record.state == ALIVE and record.incarnation == mine.incarnation:
--- a/oakbridge/peers/simulated.py
+++ b/oakbridge/peers/simulated.py
@@ -100,9 +100,11 @@
         host = self.hosts[name]
         waited, host.inbox, host.frozen = host.inbox or [], None, False
         if host.up:
-            self._tick(host)
-            for source, message in waited:
+            for number, (source, message) in enumerate(waited):
                 self.carry(host, host.member.receive(self.now, source, message))
+                if not number:  # a loop reads a socket before it looks at its timers
+                    self._tick(host)
+            self._tick(host)
             self._wake(host)
 
     def later(self, delay: int, action: Callable[[], None]) -> None:
--- a/tests/lab/test_pure.py
+++ b/tests/lab/test_pure.py
@@ -8,7 +8,7 @@
 from oakbridge.config.load import BadFile
 from oakbridge.lab.bench import Bench
 from oakbridge.lab.checks import FIGURES, NEVER, judge
-from oakbridge.lab.course import course_of, fleet_of
+from oakbridge.lab.course import Course, course_of, fleet_of
 from oakbridge.lab.front import Front
 from oakbridge.lab.history import Done, History, ViewChange, changes_of
 from oakbridge.lab.links import Links, Rule
@@ -118,6 +118,16 @@
     assert Rule.from_json(rule.as_json()) == rule
 
 
+def test_one_that_is_killed_and_frozen_is_not_back_when_thawed():
+    history = History(None, None, Course((), {"x": []}), 0, 60 * S)
+    history.done = [
+        Done(at * S, do, ("x",)) for at, do in ((1, "stop"), (2, "kill"), (9, "continue"), (12, "start"))
+    ]
+    assert history.absent() == {"x": [(1 * S, 60 * S + 3600 * S)]}
+    history.done.append(Done(14 * S, "ready", ("x",)))
+    assert history.absent() == {"x": [(1 * S, 14 * S)]}
+
+
 def good(plan) -> History:
     """A run in which all held: one node killed at 5 s, a site cut off from 10 to 30 s."""
     fleet = fleet_of(plan)
--- a/tests/members/test_fleet.py
+++ b/tests/members/test_fleet.py
@@ -2,13 +2,15 @@
 
 from collections import Counter
 
+import msgspec
 import pytest
 
 from oakbridge.peers import interleavings
 from oakbridge.peers.courses import Course
-from oakbridge.peers.member import Known, Member, Options
-from oakbridge.peers.record import FAILED
+from oakbridge.peers.member import CATCH_UP, Exchange, Known, Member, Options
+from oakbridge.peers.record import ALIVE, FAILED, SUSPECT, Record
 from oakbridge.peers.simulated import Fleet, Network
+from oakbridge.peers.wire import GOSSIP, Message, State
 
 S = 1_000_000
 
@@ -284,3 +286,41 @@
     begins.append(interleavings.scenes()[scene])  # a fault may show in what leads there
     broken = [line for state in begins for line in interleavings.search(state, 4, every=20).broken]
     assert any(told in line for line in broken)
+
+
+def test_who_was_called_failed_asks_for_what_went_past_it():
+    """Also where it has refuted the suspicion before it hears of the verdict; until an exchange has come about."""
+    one = Member("a", "a", 1, {}, 1, 0)
+    one.exchanged(0, State("b", 1, (Record("b", "b", 1, 1, 0, ALIVE),)), asked=True)
+    told = one.me.said(SUSPECT, "b")
+
+    def hear(record, incarnation=0):
+        record = msgspec.structs.replace(record, incarnation=incarnation)
+        actions = one.receive(S, "b", Message(GOSSIP, 0, "b", 1, 0, "", "", (record,)))
+        return [a for a in actions if isinstance(a, Exchange)]
+
+    def waits(until):
+        asked = []
+        while one.due() <= until:
+            asked += [a for a in one.tick(one.due()) if isinstance(a, Exchange)]
+        return asked
+
+    assert not hear(told) and one.me.incarnation == 1
+    assert hear(told.said(FAILED, "c")) == [Exchange("b")]
+    one.exchange_failed(S, "b")
+    assert waits(S + CATCH_UP * 3 // 2)  # another one is asked
+    one.exchanged(3 * S, State("b", 1, ()), asked=True)
+    assert not hear(told.said(FAILED, "c"))  # the same verdict again
+    assert hear(told.said(FAILED, "c"), incarnation=1) == [Exchange("b")]  # a new one
+
+
+def test_news_that_are_read_before_the_late_timers_are_not_put_off_by_them():
+    """A process that wakes reads its socket first: what it begins to suspect then is failed in the usual time."""
+    one = Member("a", "a", 1, {}, 1, 0)
+    dead = Record("c", "c", 1, 1, 0, ALIVE)
+    one.exchanged(0, State("b", 1, (Record("b", "b", 1, 1, 0, ALIVE), dead)), asked=True)
+    woken = 40 * S
+    one.receive(woken, "b", Message(GOSSIP, 0, "b", 1, 0, "", "", (dead.said(FAILED, "b"),)))
+    while one.due() <= woken + 3 * S:
+        one.tick(max(woken, one.due()))
+    assert one.known["c"].record.state == FAILED
