--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -27,7 +27,7 @@
 MEET, REST, AFTER = 15, 30, 25
 
 
-def course(members: int, loss: float, seed: int, health: bool) -> dict[str, Any]:
+def course(members: int, loss: float, seed: int, health: bool, meet: int = MEET) -> dict[str, Any]:
     """Play one; returns its figures."""
     began = time.perf_counter()
     fleet = Fleet(seed, Network(loss=loss), Options(local_health=health, most=2 * members + 10))
@@ -35,11 +35,11 @@
     for i, name in enumerate(names):
         tags = {"site": "abc"[i % 3], "tier": "front", "version": "0.3.0"}
         fleet.later(fleet.random.randrange(S), lambda n=name, t=tags: fleet.start(n, names[:3], tags=t))
-    fleet.run(MEET * S)
+    fleet.run(meet * S)
     unmet = fleet.wrong()
     fleet.changes.clear()
     before = fleet.counts.copy()
-    fleet.run((MEET + REST) * S)
+    fleet.run((meet + REST) * S)
     spent = {
         key: (fleet.counts[key] - before[key]) / members / REST
         for key in ("messages", "bytes", "exchange bytes")
@@ -49,11 +49,11 @@
     dead = set(names[3::10])
     for name in dead:
         fleet.kill(name)
-    fleet.run((MEET + REST + AFTER) * S)
+    fleet.run((meet + REST + AFTER) * S)
     learned: dict[str, list[float]] = {name: [] for name in dead}
     for who, change in fleet.changes:
         if change.after == "failed" and change.name in dead and who not in dead:
-            learned[change.name].append((change.at - (MEET + REST) * S) / S)
+            learned[change.name].append((change.at - (meet + REST) * S) / S)
     first = [min(times) for times in learned.values() if times]
     last = [max(times) for times in learned.values() if len(times) >= members - len(dead)]
     return {
@@ -116,13 +116,14 @@
     parser.add_argument("--members", default="10,100,1000")
     parser.add_argument("--loss", default="0,0.1,0.4")
     parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--meet", type=int, default=MEET, help="seconds until they are at rest")
     parser.add_argument("--without-health", action="store_true", help="also without local health")
     parser.add_argument("--out", type=Path)
     parser.add_argument("--processes", type=int, default=None)
     parser.add_argument("--json", action="store_true")
     args = parser.parse_args()
     work = [
-        (n, loss, seed, health)
+        (n, loss, seed, health, args.meet)
         for n in map(int, args.members.split(","))
         for loss in map(float, args.loss.split(","))
         for seed in range(1, args.seeds + 1)
