Have members that were called failed ask more slowly, twice as long each time

All that were called failed asked for a full exchange each second while one may take three, so that exchanges piled up. Now 4 s, doubled up to 64.

--- a/oakbridge/peers/member.py
+++ b/oakbridge/peers/member.py
@@ -37,7 +37,7 @@
 LEARN = 0.1
 RELAYS = 256  # indirect probes for others at once
 HISTORY = 8  # changes of one member that are kept, for `peers why`
-CATCH_UP = 1_000_000  # until it asks another one
+CATCH_UP = 4_000_000  # until it asks another one, twice as long each time: after a heal many do at once
 KNOCK_EVERY = 2_000_000  # at most one full exchange that is not due in so long
 LATE_PART = 0.4  # of the probe's time-out: a timer that fires later than this tells of a starved process
 ROOM = MAX_DATAGRAM - HEAD - 180  # for news; the rest are the fields of the longest names and addresses
@@ -155,6 +155,7 @@
         self.replaced: Record | None = None
         self.left = False
         self._behind = False  # it was held for failed: others' news went past it
+        self._caught = 0  # times that it has asked for them
         self._failed_as = -1  # the last incarnation in which it was
         self.counts: Counter[str] = Counter()
         self._seeds: list[str] = []
@@ -377,7 +378,8 @@
         """Ask one that is there for all that it knows, and another one if that comes to nothing."""
         if self._there:
             self._out.append(Exchange(self.known[self._random.choice(self._there)].record.address))
-        self._at(now + self._pause(CATCH_UP), "catch up")
+        self._at(now + self._pause(CATCH_UP << min(self._caught, 4)), "catch up")
+        self._caught += 1
 
     def _feel(self, change: int) -> None:
         if self.options.local_health:
@@ -539,7 +541,7 @@
             if record.state == FAILED and record.incarnation > self._failed_as:
                 self._failed_as = record.incarnation
                 if not self._behind:
-                    self._behind = True
+                    self._behind, self._caught = True, 0
                     self._catch_up(now)
             if record.incarnation < mine.incarnation or (record.state == ALIVE and record == mine):
                 return
--- a/tests/members/test_fleet.py
+++ b/tests/members/test_fleet.py
@@ -291,7 +291,7 @@
 
 def test_who_was_called_failed_asks_for_what_went_past_it():
     """Also where it has refuted the suspicion before it hears of the verdict; until an exchange has come about."""
-    one = Member("a", "a", 1, {}, 1, 0)
+    one = Member("a", "a", 1, {}, 1, 0, Options(period=1000 * S))
     one.exchanged(0, State("b", 1, (Record("b", "b", 1, 1, 0, ALIVE),)), asked=True)
     told = one.me.said(SUSPECT, "b")
 
