--- /dev/null
+++ b/tests/faults/fault_shim.c
@@ -0,0 +1,298 @@
+/* Makes system calls of one process fail, as a control file says; loaded by LD_PRELOAD.
+ *
+ * The control file (FAULT_CONTROL) is mapped, so that a test switches faults on and off at any
+ * moment and reads how often each was injected.  Its layout is struct control, which
+ * tests/faults/fault_control.py mirrors.  Socket faults apply to AF_INET sockets only; disk faults
+ * to regular files below FAULT_DISK only.  FAULT_SEED seeds the draws.
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/time.h>
+#include <time.h>
+#include <unistd.h>
+
+enum kind {
+    ACCEPT, SOCKET, CONNECT, SEND, RECEIVE, WAIT, SHORT_SEND, SHORT_RECEIVE,
+    DISK_WRITE, DISK_SYNC, DISK_METADATA, LISTEN, KINDS = 16
+};
+
+struct fault {
+    int32_t error;     /* the errno that the call fails with */
+    int32_t percent;   /* of the calls; 0: the fault is off */
+    uint32_t injected; /* how often it was injected */
+    uint32_t reserved;
+};
+
+struct control {
+    struct fault faults[KINDS];
+    int64_t realtime_offset_ns; /* added to the wall clock */
+};
+
+static struct control *control;
+static const char *disk_prefix;
+static uint64_t random_state;
+
+#define REAL(name) ((__typeof__(&name))real(#name))
+
+static void *real(const char *name)
+{
+    return dlsym(RTLD_NEXT, name);
+}
+
+__attribute__((constructor)) static void map_control(void)
+{
+    const char *path = getenv("FAULT_CONTROL"), *seed = getenv("FAULT_SEED");
+    disk_prefix = getenv("FAULT_DISK");
+    random_state = (seed ? strtoull(seed, NULL, 10) : 1) * 2654435761u + 88172645463325252ull;
+    if (path == NULL)
+        return;
+    int fd = open(path, O_RDWR | O_CLOEXEC);
+    if (fd < 0)
+        return;
+    void *mapped = mmap(NULL, sizeof(struct control), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    close(fd);
+    if (mapped != MAP_FAILED)
+        control = mapped;
+}
+
+static uint32_t draw(void)
+{
+    uint64_t x = __atomic_load_n(&random_state, __ATOMIC_RELAXED);
+    x ^= x << 13;
+    x ^= x >> 7;
+    x ^= x << 17;
+    __atomic_store_n(&random_state, x, __ATOMIC_RELAXED);
+    return (uint32_t)(x >> 32);
+}
+
+/* Returns whether to inject a fault now, and counts it. */
+static int injects(enum kind kind)
+{
+    if (control == NULL)
+        return 0;
+    struct fault *fault = &control->faults[kind];
+    if (fault->percent <= 0 || (int32_t)(draw() % 100) >= fault->percent)
+        return 0;
+    __atomic_add_fetch(&fault->injected, 1, __ATOMIC_RELAXED);
+    return 1;
+}
+
+/* Returns whether to fail now; sets errno if so. */
+static int fails(enum kind kind)
+{
+    if (!injects(kind))
+        return 0;
+    errno = control->faults[kind].error;
+    return 1;
+}
+
+static int is_inet(int fd)
+{
+    int domain = 0, saved = errno;
+    socklen_t length = sizeof domain;
+    int found = getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length) == 0 && domain == AF_INET;
+    errno = saved;
+    return found;
+}
+
+static int has_disk_prefix(const char *path)
+{
+    return disk_prefix != NULL && strncmp(path, disk_prefix, strlen(disk_prefix)) == 0;
+}
+
+static int is_on_disk(int fd)
+{
+    char link[64], path[4096];
+    struct stat status;
+    int saved = errno;
+    if (control == NULL || disk_prefix == NULL)
+        return 0;
+    snprintf(link, sizeof link, "/proc/self/fd/%d", fd);
+    ssize_t length = readlink(link, path, sizeof path - 1);
+    int found = length > 0 && fstat(fd, &status) == 0
+        && (S_ISREG(status.st_mode) || S_ISDIR(status.st_mode));
+    errno = saved;
+    if (!found)
+        return 0;
+    path[length] = '\0';
+    return has_disk_prefix(path);
+}
+
+static size_t shortened(enum kind kind, size_t length)
+{
+    return length > 1 && injects(kind) ? 1 + draw() % (length / 2) : length;
+}
+
+/* ---- sockets */
+
+int socket(int domain, int type, int protocol)
+{
+    return fails(SOCKET) ? -1 : REAL(socket)(domain, type, protocol);
+}
+
+int socketpair(int domain, int type, int protocol, int fds[2])
+{
+    return fails(SOCKET) ? -1 : REAL(socketpair)(domain, type, protocol, fds);
+}
+
+int listen(int fd, int backlog)
+{
+    return is_inet(fd) && fails(LISTEN) ? -1 : REAL(listen)(fd, backlog);
+}
+
+int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags)
+{
+    return is_inet(fd) && fails(ACCEPT) ? -1 : REAL(accept4)(fd, address, length, flags);
+}
+
+int accept(int fd, struct sockaddr *address, socklen_t *length)
+{
+    return is_inet(fd) && fails(ACCEPT) ? -1 : REAL(accept)(fd, address, length);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length)
+{
+    return is_inet(fd) && fails(CONNECT) ? -1 : REAL(connect)(fd, address, length);
+}
+
+ssize_t send(int fd, const void *data, size_t length, int flags)
+{
+    if (is_inet(fd)) {
+        if (fails(SEND))
+            return -1;
+        length = shortened(SHORT_SEND, length);
+    }
+    return REAL(send)(fd, data, length, flags);
+}
+
+ssize_t recv(int fd, void *data, size_t length, int flags)
+{
+    if (is_inet(fd)) {
+        if (!(flags & MSG_PEEK) && fails(RECEIVE))
+            return -1;
+        length = shortened(SHORT_RECEIVE, length);
+    }
+    return REAL(recv)(fd, data, length, flags);
+}
+
+int epoll_wait(int fd, struct epoll_event *events, int most, int timeout)
+{
+    return fails(WAIT) ? -1 : REAL(epoll_wait)(fd, events, most, timeout);
+}
+
+/* ---- the clock */
+
+int clock_gettime(clockid_t clock, struct timespec *found)
+{
+    int result = REAL(clock_gettime)(clock, found);
+    if (result == 0 && clock == CLOCK_REALTIME && control != NULL)
+        found->tv_sec += control->realtime_offset_ns / 1000000000;
+    return result;
+}
+
+time_t time(time_t *result)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_REALTIME, &now);
+    if (result != NULL)
+        *result = now.tv_sec;
+    return now.tv_sec;
+}
+
+int gettimeofday(struct timeval *restrict found, void *restrict zone)
+{
+    int result = REAL(gettimeofday)(found, zone);
+    if (result == 0 && control != NULL)
+        found->tv_sec += control->realtime_offset_ns / 1000000000;
+    return result;
+}
+
+/* ---- the disk: a write that fails may have written a part */
+
+ssize_t write(int fd, const void *data, size_t length)
+{
+    if (control != NULL && control->faults[DISK_WRITE].percent > 0 && is_on_disk(fd)
+        && injects(DISK_WRITE)) {
+        if (length > 1 && draw() % 2)
+            return REAL(write)(fd, data, length / 2);
+        errno = control->faults[DISK_WRITE].error;
+        return -1;
+    }
+    return REAL(write)(fd, data, length);
+}
+
+static ssize_t write_at(int fd, const void *data, size_t length, off_t offset)
+{
+    if (control != NULL && control->faults[DISK_WRITE].percent > 0 && is_on_disk(fd)
+        && injects(DISK_WRITE)) {
+        if (length > 1)
+            REAL(pwrite64)(fd, data, length / 2, offset);
+        errno = control->faults[DISK_WRITE].error;
+        return -1;
+    }
+    return REAL(pwrite64)(fd, data, length, offset);
+}
+
+ssize_t pwrite(int fd, const void *data, size_t length, off_t offset)
+{
+    return write_at(fd, data, length, offset);
+}
+
+ssize_t pwrite64(int fd, const void *data, size_t length, off_t offset)
+{
+    return write_at(fd, data, length, offset);
+}
+
+int fsync(int fd)
+{
+    return is_on_disk(fd) && fails(DISK_SYNC) ? -1 : REAL(fsync)(fd);
+}
+
+int fdatasync(int fd)
+{
+    return is_on_disk(fd) && fails(DISK_SYNC) ? -1 : REAL(fdatasync)(fd);
+}
+
+int rename(const char *from, const char *to)
+{
+    return has_disk_prefix(to) && fails(DISK_METADATA) ? -1 : REAL(rename)(from, to);
+}
+
+int mkdir(const char *path, mode_t mode)
+{
+    return has_disk_prefix(path) && fails(DISK_METADATA) ? -1 : REAL(mkdir)(path, mode);
+}
+
+int symlink(const char *target, const char *path)
+{
+    return has_disk_prefix(path) && fails(DISK_METADATA) ? -1 : REAL(symlink)(target, path);
+}
+
+static int opens_new(const char *path, int flags)
+{
+    return (flags & O_CREAT) && has_disk_prefix(path) && access(path, F_OK) != 0;
+}
+
+#define OPEN(name)                                                                            \
+    int name(const char *path, int flags, ...)                                                \
+    {                                                                                         \
+        va_list arguments;                                                                    \
+        va_start(arguments, flags);                                                           \
+        mode_t mode = flags & (O_CREAT | O_TMPFILE) ? va_arg(arguments, mode_t) : 0;          \
+        va_end(arguments);                                                                    \
+        return opens_new(path, flags) && fails(DISK_METADATA) ? -1 : REAL(name)(path, flags, mode); \
+    }
+
+OPEN(open)
+OPEN(open64)
--- /dev/null
+++ b/tests/faults/test_agent_faults.py
@@ -0,0 +1,131 @@
+"""Agents whose disks fail for moments: steps that were taken on are carried through."""
+
+import errno
+import json
+import subprocess
+import threading
+
+import pytest
+from fault_control import DISK_FAULTS, FaultControl
+from peers import LIMIT
+from process_fleet import OAKBRIDGE, ProcessFleet
+
+HOSTS, INSTANCES = 4, ("n0", "n1")
+QUICK = ("--watch", "1", "--window", "1", "--silent", "20")
+
+FAILING_S, PERIOD_S = 0.5, 1.5
+DISK_ERRORS = (errno.ENOSPC, errno.EIO)
+
+
+class FailingDisks:
+    """Disks that fail in one part of each period, each at a time of its own."""
+
+    def __init__(self, controls: list[FaultControl]) -> None:
+        self._controls = controls
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(control, number))
+            for number, control in enumerate(controls)
+        ]
+
+    def __enter__(self) -> "FailingDisks":
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def injected(self) -> int:
+        """Return how many calls were made to fail."""
+        return sum(control.injected(fault) for control in self._controls for fault in DISK_FAULTS)
+
+    def _run(self, control: FaultControl, number: int) -> None:
+        self._stop.wait(PERIOD_S * number / len(self._controls))
+        while not self._stop.is_set():
+            for fault in DISK_FAULTS:
+                control.start(fault, DISK_ERRORS[number % 2])
+            self._stop.wait(FAILING_S)
+            control.stop()
+            self._stop.wait(PERIOD_S - FAILING_S)
+
+
+def files_with_aim(aim: str) -> dict[str, str]:
+    """Return the files of a change."""
+    config = (
+        '[servers]\nfile = "servers.toml"\n\n[[class]]\nname = "look"\n'
+        f'aim = "{aim}"\ndeadline = "9s"\nrepeat = "safe"\n'
+    )
+    servers = '[[server]]\nname = "a"\naddress = "127.0.0.1:9"\n'
+    return {"oakbridge.toml": config, "servers.toml": servers}
+
+
+class FaultyFleet(ProcessFleet):
+    """Four hosts with two nodes each; each agent's disk has a control of its own."""
+
+    def __init__(self, folder) -> None:
+        agents = [f"h{number}" for number in range(HOSTS)]
+        self.disks = {
+            agent: FaultControl(folder / f"{agent}.faults", seed=number, disk=folder / agent)
+            for number, agent in enumerate(agents, 1)
+        }
+        super().__init__(
+            folder,
+            hosts=HOSTS,
+            instances=INSTANCES,
+            configurations={a: files_with_aim(a)["oakbridge.toml"] for a in ("1s", "2s", "3s")},
+            agent_environments={a: control.environment for a, control in self.disks.items()},
+        )
+
+    def command(self, *words: str) -> subprocess.CompletedProcess:
+        """Carry out a command of ``oakbridge fleet``."""
+        return subprocess.run(
+            [*OAKBRIDGE, "fleet", *words],
+            cwd=self.folder,
+            env=self.environment,
+            capture_output=True,
+            text=True,
+            timeout=4 * LIMIT,
+        )
+
+    def wait_until_all_answer(self) -> None:
+        """Wait until every agent reports its instances."""
+        for _ in range(200):
+            done = self.command("status", "--json")
+            if len(json.loads(done.stdout or "{}").get("instances", ())) == HOSTS * len(INSTANCES):
+                return
+        raise AssertionError(done.stderr)
+
+    def apply(self, aim: str) -> dict[str, str]:
+        """Roll a change out; return what became of each instance."""
+        files = self.write_files(aim, files_with_aim(aim))
+        done = self.command("apply", "--files", files, "--json", *QUICK)
+        assert "Traceback" not in done.stderr, done.stderr
+        assert done.stdout, done.stderr
+        return {row["instance"]: row["fate"] for row in json.loads(done.stdout)["instances"]}
+
+    def agent_logs(self) -> str:
+        """Return what all agents have logged."""
+        return "".join((self.folder / f"{agent}.log").read_text() for agent in self.agents)
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    found = FaultyFleet(tmp_path)
+    try:
+        yield found
+    finally:
+        found.close()
+
+
+def test_steps_are_applied_though_the_disks_of_all_agents_fail_for_moments(fleet):
+    """Guards against a change that stands still after one write that failed."""
+    fleet.wait_until_all_answer()
+    with FailingDisks(list(fleet.disks.values())) as disks:
+        outcomes = fleet.apply("1s")
+        assert disks.injected() > 0
+    assert outcomes == dict.fromkeys(fleet.instance_ports, "took it")
+    assert set(fleet.running_configurations().values()) == {"1s"}
+    assert "Traceback" not in fleet.agent_logs()
--- a/tests/rollout/process_fleet.py
+++ b/tests/rollout/process_fleet.py
@@ -4,7 +4,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from hashlib import sha256
 from pathlib import Path
 
@@ -38,9 +38,14 @@
         configurations: dict[str, str],
         operators: Sequence[str] = ("admin",),
         zones: int = 1,
+        agent_environments: Mapping[str, Mapping[str, str]] | None = None,
     ) -> None:
-        """Issue the certificates, write the inventory and start the agents."""
+        """Issue the certificates, write the inventory and start the agents.
+
+        ``agent_environments`` are variables that single agents are started with.
+        """
         self.folder = folder
+        self._agent_environments = agent_environments or {}
         self.fleet_folder = folder / "fleet"
         self.environment = os.environ | {"PYTHONPATH": str(ROOT)}
         self.agents: dict[str, subprocess.Popen] = {}
@@ -58,7 +63,7 @@
         write_inventory(self.fleet_folder, Inventory("f", addresses))
         for number, (agent, (_, port)) in enumerate(addresses.items()):
             self._configure(agent, port, instances, f"z{number % zones}")
-            self._start(agent)
+            self.start_agent(agent)
 
     def _configure(self, agent: str, port: int, instances: Sequence[str], zone: str) -> None:
         identity = Identity("f", IdentityKind.AGENT, agent, Role.READ)
@@ -81,12 +86,12 @@
             ]
         (self.folder / f"{agent}.toml").write_text("\n".join(lines) + "\n")
 
-    def _start(self, agent: str) -> None:
+    def start_agent(self, agent: str) -> None:
+        """Start an agent, or start it again."""
+        environment = self.environment | self._agent_environments.get(agent, {})
         command = [*OAKBRIDGE, "agent", "--config", str(self.folder / f"{agent}.toml")]
         with (self.folder / f"{agent}.log").open("ab") as log:
-            self.agents[agent] = subprocess.Popen(
-                command, env=self.environment, stdout=log, stderr=log
-            )
+            self.agents[agent] = subprocess.Popen(command, env=environment, stdout=log, stderr=log)
 
     def write_files(self, name: str, files: dict[str, str]) -> str:
         """Write the files of a change to a folder of this name; return its path."""
