Try a failing accept again within 20 ms, and a start that lacks a socket for 20 s

Cause: a listener whose accept failed removed its reader, and only a client that left started it again; without clients it tried without a pause. Of a shutdown, one failed accept closed the listener over all that waited in its queue. One socket() that failed at the start ended the process.

Change: node/accepting.py says what a failure is about (one connection, or the system); the listener tries again by itself, in every phase, logs the first and last failure of a series, and closes only once its queues are empty. node/startup.py tries a start again while resources are short, for 20 s.

--- a/oakbridge/node/http_server.py
+++ b/oakbridge/node/http_server.py
@@ -7,6 +7,7 @@
 import os
 import socket
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from typing import Protocol
 
 from oakbridge.node.address import Address
@@ -70,7 +71,9 @@
         self.limits = ConnectionLimits(clock, max_connections)
         self.body_buffers = BodyBuffers()
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
-        self.listener = Listener(loop, clock, self.lifecycle, self.limits, self.admit)
+        self.listener = Listener(
+            loop, clock, self.lifecycle, self.limits, self.admit, self._finish_if_empty
+        )
         # Set while another process takes over: hands it a descriptor, or returns False.
         self._send_descriptor: Callable[[int], bool] | None = None
         self._attach_tasks: set[asyncio.Task[None]] = set()
@@ -108,7 +111,8 @@
     def admit(self, sock: socket.socket) -> None:
         """Serve on a connection that was accepted here or by the process that listens."""
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with suppress(OSError):  # a connection that broke already: its first read tells
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         is_full = self.limits.is_full() and not self.limits.evict()
         over_limit = is_full and not self.limits.may_evict_later()
         connection = ClientConnection(self, sock, over_limit=over_limit)
@@ -258,8 +262,7 @@
         now = self.clock.now()
         accepts = self.lifecycle.accepts_connections(now)
         if self.shutting_down and self.listener.is_open and not accepts:
-            self.listener.accept_all()  # what is left in the kernel's queue would be reset
-            self.listener.close()
+            self.listener.close_when_empty()  # what is left in the kernel's queue would be reset
         if self.lifecycle.closes_connections(now):
             for connection in [*self.limits.idle, *self.limits.awaiting_client]:
                 if connection.is_idle():
--- a/oakbridge/node/listener.py
+++ b/oakbridge/node/listener.py
@@ -7,11 +7,14 @@
 import os
 import socket
 from collections.abc import Callable, Sequence
+from enum import Enum
 
+from oakbridge.node.accepting import ACCEPT_RETRY_US, AcceptLog, AcceptStatus, accept
 from oakbridge.node.address import Address
 from oakbridge.node.clock import Clock, Timer
 from oakbridge.node.connection_limits import MIN_SILENCE_US, ConnectionLimits
-from oakbridge.node.lifecycle import Lifecycle, Phase
+from oakbridge.node.lifecycle import Lifecycle
+from oakbridge.node.startup import retry_resource_errors
 
 log = logging.getLogger(__name__)
 
@@ -23,8 +26,12 @@
 def open_listener(address: Address, *, reuse_port: bool = False) -> socket.socket:
     """Return a socket that listens; ``reuse_port``: other processes may listen there too.
 
-    Raises OSError with the address in its text.
+    Blocks while resources are short.  Raises OSError with the address in its text.
     """
+    return retry_resource_errors(lambda: _open_listener(address, reuse_port), "listening")
+
+
+def _open_listener(address: Address, reuse_port: bool) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -38,8 +45,22 @@
     return sock
 
 
+class BatchEnd(Enum):
+    """Why a batch of accepted connections ended."""
+
+    BATCH_FULL = "batch full"  # more may wait
+    QUEUE_EMPTY = "queue empty"
+    AT_LIMIT = "at the connection limit"
+    UNAVAILABLE = "accept fails"
+
+
 class Listener:
-    """The node's listening sockets, which it owns, and the accepting on them."""
+    """The node's listening sockets, which it owns, and the accepting on them.
+
+    Connections in the kernel's queue are owed a response.  Where none can be accepted for a moment
+    the listener tries again by itself, until it is closed; and it closes only once its queues are
+    empty, or the process ends.
+    """
 
     def __init__(
         self,
@@ -48,16 +69,20 @@
         lifecycle: Lifecycle,
         limits: ConnectionLimits,
         admit: Callable[[socket.socket], None],
+        on_closed: Callable[[], None] = lambda: None,
     ) -> None:
-        """``admit``: called with each accepted connection."""
+        """``admit``: called with each accepted connection; ``on_closed``: after a late close."""
         self._loop = loop
         self._clock = clock
         self._lifecycle = lifecycle
         self._limits = limits
         self._admit = admit
+        self._on_closed = on_closed
         self._sockets: list[socket.socket] = []
         self._accepting = False
-        # Set while accepting waits for a connection to become evictable.
+        self._closing = False
+        self._failures = AcceptLog()
+        # Set while accepting waits: for a connection to become evictable, or after a failure.
         self._resume_timer: Timer | None = None
         self.addresses: list[Address] = []
 
@@ -85,9 +110,9 @@
 
     def start(self) -> None:
         """Accept, if the node's phase allows it."""
-        if self._accepting or not self._sockets:
+        if self._accepting or self._closing or self._resume_timer is not None:
             return
-        if self._lifecycle.accepts_connections(self._clock.now()):
+        if self._sockets and self._lifecycle.accepts_connections(self._clock.now()):
             self._accepting = True
             for sock in self._sockets:
                 self._loop.add_reader(sock, self._accept_batch, sock)
@@ -100,62 +125,83 @@
                 self._loop.remove_reader(sock)
 
     def close(self) -> None:
-        """Close the sockets; connections in their queues are reset."""
+        """Close the sockets now; connections in their queues are reset."""
         self.stop()
+        self._closing = True
         for sock in self._sockets:
             sock.close()
         self._sockets = []
 
-    def accept_all(self) -> None:
-        """Accept all connections in the kernel's queues."""
-        for sock in self._sockets:
-            while self._accept_batch(sock):
-                pass
+    def close_when_empty(self) -> None:
+        """Accept all that waits in the kernel's queues, and close.
+
+        Where that fails for a moment, it is tried again until the queues are empty.
+        """
+        self.stop()
+        self._closing = True
+        if self._resume_timer is None and self._sockets:
+            self._close_empty_sockets()
 
     def resume_if_space(self) -> None:
         """Accept again after a connection has gone, unless a pause has still to pass."""
-        if self._limits.is_excess_full() or self._resume_timer is not None:
-            return
-        if self._lifecycle.phase is not Phase.SHUTTING_DOWN:
+        if not self._limits.is_excess_full():
             self.start()
 
-    def _accept_batch(self, listening: socket.socket) -> bool:
-        """Accept a few connections; return whether more may wait.
+    def _close_empty_sockets(self) -> None:
+        for sock in list(self._sockets):
+            end = BatchEnd.BATCH_FULL
+            while end is BatchEnd.BATCH_FULL:
+                end = self._accept_batch(sock)
+            if end is BatchEnd.QUEUE_EMPTY:
+                sock.close()
+                self._sockets.remove(sock)
+        if self._sockets:
+            self._resume_after(ACCEPT_RETRY_US)
+
+    def _accept_batch(self, listening: socket.socket) -> BatchEnd:
+        """Accept a few connections; return why no more.
 
         Beyond the limit others are evicted; where none can be yet, a few more are accepted all the
         same, and rejected if all others are owed a response.  The rest wait in the kernel's queue.
         """
+        accepted = 0
         for _ in range(ACCEPT_BATCH):
             if self._limits.is_excess_full() and not self._limits.evict():
-                if not self._pause():
-                    log.warning(
-                        "accepting stops at the connection limit: clients=%d", len(self._limits)
-                    )
-                    self.stop()
-                return False
-            try:
-                sock, _ = listening.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return False
-            except OSError as e:  # no descriptor is left: accepting resumes when a client has left
-                log.error("accepting stops: %s", e)  # noqa: TRY400 - the cause is told, its place is known
-                if len(self._limits) > 0:
-                    self.stop()
-                return False
-            self._admit(sock)
-        return True
-
-    def _pause(self) -> bool:
-        """Accept nothing until a connection may have become evictable; False if none will."""
-        if self._lifecycle.phase is Phase.SHUTTING_DOWN or not self._limits.may_evict_later():
-            return False
+                self._wait_for_space()
+                return BatchEnd.AT_LIMIT
+            outcome = accept(listening, self._failures)
+            if outcome.connection is not None:
+                accepted += 1
+                self._admit(outcome.connection)
+            elif outcome.status is AcceptStatus.QUEUE_EMPTY:
+                return BatchEnd.QUEUE_EMPTY
+            elif outcome.status is AcceptStatus.UNAVAILABLE:
+                self._resume_after(ACCEPT_RETRY_US)
+                return BatchEnd.UNAVAILABLE
+        if not accepted:  # every connection failed: the loop has other work
+            self._resume_after(ACCEPT_RETRY_US)
+            return BatchEnd.UNAVAILABLE
+        return BatchEnd.BATCH_FULL
+
+    def _wait_for_space(self) -> None:
+        """Accept nothing until a connection has gone, or may have become evictable."""
+        if self._limits.may_evict_later():
+            self._resume_after(MIN_SILENCE_US)
+        elif self._accepting:
+            log.warning("accepting stops at the connection limit: clients=%d", len(self._limits))
+            self.stop()
+
+    def _resume_after(self, delay_us: int) -> None:
+        """Accept nothing for so long."""
         self.stop()
         if self._resume_timer is None:
-            resume_at = self._clock.now() + MIN_SILENCE_US
-            self._resume_timer = self._clock.call_at(resume_at, self._resume)
-        return True
+            self._resume_timer = self._clock.call_at(self._clock.now() + delay_us, self._resume)
 
     def _resume(self) -> None:
         self._resume_timer = None
-        if self._lifecycle.phase is not Phase.SHUTTING_DOWN:
+        if not self._closing:
             self.start()
+        elif self._sockets:
+            self._close_empty_sockets()
+            if not self._sockets:
+                self._on_closed()
--- /dev/null
+++ b/oakbridge/node/startup.py
@@ -0,0 +1,55 @@
+"""Start although the system is short of something for a moment, such as descriptors or buffers.
+
+Before a process accepts anything it owes nothing to clients, but it is expected to be ready within
+:data:`PATIENCE_S`.  Until then what fails is tried again; after that the failure is the caller's.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+from oakbridge.node.system_errors import is_resource_error
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+PATIENCE_S = 20.0
+RETRY_S = 0.05
+
+
+def retry_resource_errors(call: Callable[[], T], what: str) -> T:
+    """Return what a call returns, made again while resources are short.
+
+    Blocks: for the start of a process, not for one that serves.  Raises OSError: one that does not
+    pass, or the last one after :data:`PATIENCE_S`.
+    """
+    give_up_at = time.monotonic() + PATIENCE_S
+    logged = False
+    while True:
+        try:
+            return call()
+        except OSError as error:
+            if not is_resource_error(error) or time.monotonic() >= give_up_at:
+                raise
+            if not logged:
+                log.warning("%s fails and is tried again: %s", what, error)
+                logged = True
+        time.sleep(RETRY_S)
+
+
+def new_event_loop() -> asyncio.AbstractEventLoop:
+    """Return a new event loop, for ``asyncio.Runner``.  Raises OSError."""
+    return retry_resource_errors(_make_event_loop, "making the event loop")
+
+
+def _make_event_loop() -> asyncio.AbstractEventLoop:
+    # A loop that fails halfway complains as it is collected: so what it needs is tried before.
+    for probe in socket.socketpair():
+        probe.close()
+    return asyncio.new_event_loop()
