Name who tries again where dials, reads of the configuration and last writes fail

Cause: a dial that failed on this machine (socket, connect) counted as the server's failure and used an attempt up; an attempt whose dial came up after its client had left was still written; the time told to servers left out what a request had waited in the kernel; a connection with unwritten bytes could be evicted, and the process could end over them; shutdown() on a reset connection raised through the balancer's bookkeeping; an unreadable file at SIGHUP was forgotten.

Change: the pool dials again every 20 ms within the dial's time and then ends the attempt as not sent; is_wanted is asked before the first byte; on a client's end an attempt that is not written whole is withdrawn; received_at counts TCP_INFO's last_data_recv; the time told is capped by the client's own; eviction and the process's end wait for unwritten bytes (60 ms at the end); a broken off response resets its connection; discovery dials and SIGHUP's reading are tried again; node/invariants.py counts violations.

--- a/oakbridge/node/attempt.py
+++ b/oakbridge/node/attempt.py
@@ -62,10 +62,16 @@
         None  # called once the last of ``upload`` is written
     )
     start_by: int | None = None  # the request may not start to be written later
+    # Returns whether the client still waits; asked after a dial, before the first byte is written.
+    is_wanted: Callable[[], bool] = field(default=lambda: True)
     connection: ServerConnection | None = field(default=None, init=False)
     timer: Timer | None = field(default=None, init=False)  # fires at the deadline
     ended: bool = field(default=False, init=False)
 
+    def is_written(self) -> bool:
+        """Return whether the last byte was written: the request may run from then on."""
+        return self.connection is not None and self.connection.request_written()
+
     def finish(self, outcome: AttemptOutcome) -> None:
         """End the attempt; only the first call counts."""
         if self.ended:
--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections import deque
+from contextlib import suppress
 from typing import TYPE_CHECKING, cast
 
 from oakbridge.node.client_request import ClientRequest
@@ -15,6 +16,7 @@
     next_state,
 )
 from oakbridge.node.http_framing import Headers
+from oakbridge.node.invariants import Invariant
 from oakbridge.node.read_deadlines import MIN_BODY_BYTES_PER_CHECK, ClientProgress
 from oakbridge.node.request_parser import RequestParser, RequestPhase
 from oakbridge.node.response_writer import (
@@ -26,7 +28,12 @@
     encode_response_head,
     stream_framing,
 )
-from oakbridge.node.socket_state import has_unread_bytes, peer_has_closed
+from oakbridge.node.socket_state import (
+    has_unread_bytes,
+    last_received_ago_us,
+    peer_has_closed,
+    reset_on_close,
+)
 
 if TYPE_CHECKING:
     from oakbridge.node.http_server import HttpServer
@@ -146,9 +153,9 @@
 
     # ---- the parser's callbacks
 
-    def now(self) -> int:
-        """Return the time in microseconds."""
-        return self._server.clock.now()
+    def last_received_at(self) -> int:
+        """Return when the last bytes reached this machine, in microseconds: its client's time runs."""
+        return self._server.clock.now() - last_received_ago_us(self._sock)
 
     def on_head(self) -> None:
         """Give the body a time of its own, and ask for it if the client waits for that."""
@@ -300,8 +307,12 @@
         self._after_response()
 
     def abort_response(self) -> None:
-        """Break a streamed response off: the client sees its connection break."""
+        """Break a streamed response off: the client sees its connection break.
+
+        By a reset: the end of the connection may be the end of the body.
+        """
         self._forget_stream()
+        reset_on_close(self._sock)
         self.abort()
 
     def _forget_stream(self) -> ResponseStream | None:
@@ -312,15 +323,14 @@
 
     def _closes_after(self, request: ClientRequest, *, rejected: bool = False) -> bool:
         """Return whether the connection ends with the response to this request."""
-        if self.pending and request.keep_alive:
-            return False
-        return (
-            rejected
-            or self.over_limit
-            or not request.keep_alive
-            or self._server.closes_connections()
-            or self._server.limits.is_nearly_full()
-        )
+        if not request.keep_alive:
+            return True
+        if self.pending or self.parser.in_progress():
+            return False  # the next request has come, or a part of it
+        if rejected or self.over_limit:
+            return True
+        wants_to_close = self._server.closes_connections() or self._server.limits.is_nearly_full()
+        return wants_to_close and not self.has_unread_bytes()
 
     def _write_response(
         self, status: int, headers: Headers, body: bytes, *, close: bool, http10: bool = False
@@ -353,7 +363,11 @@
         and is then cut off all the same.
         """
         self._change_state(ConnectionEvent.SENDING_ENDED)
-        self.pending.clear()
+        if self.pending:
+            self._server.invariants.violated(
+                Invariant.CLOSED_UNANSWERED, f"{len(self.pending)} pipelined requests"
+            )
+            self.pending.clear()
         limits = self._server.limits
         limits.idle.remove(self)
         limits.awaiting_client.remove(self)
@@ -363,7 +377,8 @@
         if limits.is_nearly_full() and not self.has_unread_bytes():
             self.transport.close()  # its place is needed at once
         else:
-            self.transport.write_eof()
+            with suppress(OSError):  # the client has reset it: its end is read
+                self.transport.write_eof()
             self.transport.resume_reading()
 
     # ---- deadlines and the end
@@ -376,10 +391,18 @@
         """Return whether a request was received that has no response yet."""
         return self.in_flight is not None or bool(self.pending)
 
+    def is_owed_nothing(self) -> bool:
+        """Return whether no response is owed, also to a request that is not read yet."""
+        return not (self.has_requests() or self.has_unsent_bytes() or self.has_unread_bytes())
+
     def has_unread_bytes(self) -> bool:
         """Return whether something has arrived that the loop has not read yet."""
         return has_unread_bytes(self._sock)
 
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a part of a response has not been taken by the kernel yet."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def client_has_closed(self) -> bool:
         """Return whether the client has ended its side, also behind bytes that were not read."""
         closed = peer_has_closed(self._sock)
--- a/oakbridge/node/config.py
+++ b/oakbridge/node/config.py
@@ -11,8 +11,9 @@
 
 from oakbridge.node.address import Address, parse_address
 from oakbridge.node.endpoint_list_json import JsonObject
-from oakbridge.node.errors import ConfigError
+from oakbridge.node.errors import ConfigError, ConfigUnreadableError
 from oakbridge.node.settings import missing_key, read_settings
+from oakbridge.node.system_errors import is_read_error
 from oakbridge.policy.settings import Settings, SettingsError
 
 DEFAULT_SOCKETS = 1024
@@ -94,7 +95,8 @@
     try:
         return _object(json.loads(Path(path).read_text("utf-8")), path)
     except OSError as e:
-        raise ConfigError(f"NODE_CONFIG: {path}: {e.strerror}") from None
+        problem = f"NODE_CONFIG: {path}: {e.strerror}"
+        raise (ConfigUnreadableError if is_read_error(e) else ConfigError)(problem) from None
     except (ValueError, RecursionError) as e:
         raise ConfigError(f"NODE_CONFIG: {path}: {str(e) or 'not JSON'}") from None
 
--- a/oakbridge/node/connection_pool.py
+++ b/oakbridge/node/connection_pool.py
@@ -19,6 +19,8 @@
 # A connection is idle for so long before it is used again: what comes behind a response shows by
 # then.
 MIN_IDLE_US = 5_000
+DIAL_RETRY_US = 20_000  # after a dial that failed on this machine
+DIAL_LOG_INTERVAL_US = 1_000_000  # between two lines of the log about such dials
 # An idle connection is closed before the server would: by this part of the server's own timeout.
 IDLE_MARGIN_DIVISOR = 10
 
@@ -65,6 +67,7 @@
         self.servers: dict[str, PooledServer] = {}  # those of them that something was sent to
         self.observer: NodeObserver | None = None
         self._expiry_timer: Timer | None = None
+        self._dial_failure_logged_at = -DIAL_LOG_INTERVAL_US
         self.configure(connect_timeout, idle_timeout)
 
     def configure(self, connect_timeout: int, idle_timeout: int) -> None:
@@ -126,6 +129,11 @@
         if server is None:
             self._fail_soon(attempt)
             return
+        dial_by = self.clock.now() + self.connect_timeout if self.connect_timeout else None
+        self._start(server, attempt, dial_by)
+
+    def _start(self, server: PooledServer, attempt: Attempt, dial_by: int | None) -> None:
+        """Write an attempt to an idle connection, or dial for it; ``dial_by``: until when."""
         connection = self._checkout_idle(server, MIN_IDLE_US)
         if connection is None and self.connection_count >= self.max_connections:
             connection = self._checkout_idle(server, 0)
@@ -136,24 +144,58 @@
         if self.connection_count >= self.max_connections and not self._evict_oldest_idle():
             self._fail_soon(attempt)
             return
-        self._open(server, attempt)
+        self._dial(server, attempt, dial_by)
 
     def _fail_soon(self, attempt: Attempt) -> None:
         """Fail an attempt for which there is no connection, in the loop's next round."""
         self.loop.call_soon(attempt.finish, AttemptOutcome(AttemptResult.CONNECT_FAILED))
 
-    def _open(self, server: PooledServer, attempt: Attempt) -> None:
+    def _dial(self, server: PooledServer, attempt: Attempt, dial_by: int | None) -> None:
+        """Open a connection for an attempt.
+
+        A dial that fails on this machine says nothing of the server: it is made again, for as long
+        as a dial may take, the attempt lasts and the server is listed.
+        """
         if self.observer is not None:
             self.observer.on_connection_opened()
+        now = self.clock.now()
         try:
             connection = ServerConnection(self, server)
-        except OSError as e:  # no descriptor is left: nothing was sent
-            log.error("no socket for a connection: %s", e)  # noqa: TRY400 - expected: no descriptor is left
-            self._fail_soon(attempt)
+        except OSError as error:
+            self._dial_later(server, attempt, dial_by, error)
             return
         self.connection_count += 1
         server.busy.add(connection)
-        connection.connect(attempt)
+        try:
+            connection.connect(attempt, 0 if dial_by is None else max(1, dial_by - now))
+        except OSError as error:
+            connection.abort()
+            attempt.connection = None
+            self._dial_later(server, attempt, dial_by, error)
+
+    def _dial_later(
+        self, server: PooledServer, attempt: Attempt, dial_by: int | None, error: OSError
+    ) -> None:
+        now = self.clock.now()
+        if now - self._dial_failure_logged_at >= DIAL_LOG_INTERVAL_US:
+            self._dial_failure_logged_at = now
+            log.warning("a dial fails on this machine and is made again: %s", error)
+        retry_at = now + DIAL_RETRY_US
+        if dial_by is not None and retry_at >= dial_by:
+            # In the loop's next round: the node still holds the attempt as being started.
+            self.loop.call_soon(self.withdraw, attempt)
+        else:
+            self.clock.call_at(retry_at, lambda: self._dial_again(server, attempt, dial_by))
+
+    def _dial_again(self, server: PooledServer, attempt: Attempt, dial_by: int | None) -> None:
+        if attempt.ended:
+            return
+        if self.servers.get(attempt.server) is not server:
+            self.fail_unsent(attempt)  # it drains by now, or is gone
+        elif not attempt.is_wanted():
+            self.withdraw(attempt)
+        else:
+            self._start(server, attempt, dial_by)
 
     def cancel(self, attempt: Attempt) -> None:
         """Cancel an attempt: its connection is closed before this returns."""
@@ -163,6 +205,10 @@
         """Fail an attempt of which nothing was written, and nothing may be any more."""
         self._abort(attempt, AttemptResult.CONNECT_FAILED)
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """End an attempt of which the last byte was not written, through no fault of the server."""
+        self._abort(attempt, AttemptResult.NOT_SENT)
+
     @staticmethod
     def _abort(attempt: Attempt, result: AttemptResult) -> None:
         if attempt.ended:
--- a/oakbridge/node/discovery_http.py
+++ b/oakbridge/node/discovery_http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 from typing import Any
 
 import httptools
@@ -12,9 +13,13 @@
 from oakbridge.node.endpoint_list import EndpointList
 from oakbridge.node.endpoint_list_json import parse_endpoint_list
 from oakbridge.node.errors import EndpointListError
+from oakbridge.node.system_errors import is_local_connect_error
+
+log = logging.getLogger(__name__)
 
 MAX_LIST_BYTES = 4 * 1024 * 1024
 READ_BYTES = 64 * 1024
+CONNECT_RETRY_S = 0.05  # after a connection that failed on this machine
 
 
 class _Response:
@@ -41,7 +46,7 @@
     watch.
     """
     async with asyncio.timeout(timeout_s):
-        reader, writer = await asyncio.open_connection(*address)
+        reader, writer = await _connect(address)
         try:
             host, port = address
             request = f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\nConnection: close\r\n\r\n"
@@ -57,6 +62,21 @@
         raise EndpointListError(str(e) or "not JSON") from None
 
 
+async def _connect(address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection; one that fails on this machine is tried again, as long as the poll lasts.
+
+    Discovery has seen nothing of it, so it is no reason to stay away for a while.
+    """
+    while True:
+        try:
+            return await asyncio.open_connection(*address)
+        except OSError as error:
+            if not is_local_connect_error(error.errno):
+                raise
+            log.warning("no connection to discovery for a moment: %s", error)
+        await asyncio.sleep(CONNECT_RETRY_S)
+
+
 async def _read_response(reader: asyncio.StreamReader) -> _Response:
     response = _Response()
     while not response.complete:
--- a/oakbridge/node/errors.py
+++ b/oakbridge/node/errors.py
@@ -7,5 +7,9 @@
     """The configuration can't be used; the text is one line that says why."""
 
 
+class ConfigUnreadableError(ConfigError):
+    """The configuration can't be read for a moment; the same file may be readable soon."""
+
+
 class EndpointListError(ValueError):
     """A list of servers that can't be used."""
--- a/oakbridge/node/http_server.py
+++ b/oakbridge/node/http_server.py
@@ -15,6 +15,7 @@
 from oakbridge.node.client_request import ClientRequest, parse_timeout
 from oakbridge.node.clock import Clock, Timer
 from oakbridge.node.connection_limits import ConnectionLimits
+from oakbridge.node.invariants import Invariant, InvariantCounters
 from oakbridge.node.lifecycle import Lifecycle, Phase
 from oakbridge.node.listener import Listener
 from oakbridge.node.request_body import BodyBuffers
@@ -23,6 +24,8 @@
 
 READINESS_PATH = b"/-/ready"
 READ_BUFFER_BYTES = 64 * 1024
+FLUSH_S = 0.06  # for the last responses, of the time until SIGKILL
+FLUSH_POLL_S = 0.005
 HAND_OVER_RETRY_S = 0.01  # while a connection is still being written to
 
 
@@ -67,6 +70,7 @@
         self.loop = loop
         self.clock = clock
         self.handler = handler
+        self.invariants = InvariantCounters()
         self.lifecycle = Lifecycle()
         self.limits = ConnectionLimits(clock, max_connections)
         self.body_buffers = BodyBuffers()
@@ -104,7 +108,35 @@
         self.listener.close()
         self.limits.stop()
         for connection in list(self.limits.connections):
-            connection.close()
+            if connection.response_stream is not None:
+                connection.abort_response()  # the end of the connection must not look like its end
+            else:
+                connection.close()
+
+    async def flush(self) -> None:
+        """Write what is owed when the process ends: responses, and those to requests unread yet.
+
+        The kernel may have taken only a part of a response.  Ends after :data:`FLUSH_S` at the
+        latest; what is cut short then is counted.
+        """
+        give_up_at = self.loop.time() + FLUSH_S
+        while owed := self._owed_connections():
+            if self.loop.time() >= give_up_at:
+                for connection in owed:
+                    if not connection.write_blocked:  # else its client does not read
+                        state = connection.state.value
+                        self.invariants.violated(Invariant.RESPONSE_CUT_SHORT, state)
+                return
+            await asyncio.sleep(FLUSH_POLL_S)
+
+    def _owed_connections(self) -> list[ClientConnection]:
+        """Return the connections with a response that is not written whole, or a request unread."""
+        return [
+            connection
+            for connection in self.limits.connections
+            if connection.has_unsent_bytes()
+            or (not connection.has_ended() and not connection.is_owed_nothing())
+        ]
 
     # ---- connections
 
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -77,6 +77,7 @@
         )
         self.dispatcher.attach(self.forwarder, self.source)
         self.server = self._make_server(loop, listening or Listening())
+        self.forwarder.invariants = self.server.invariants
         self.source.attach(self.endpoints)
         if source is None:
             self._apply_saved_list()
@@ -150,7 +151,9 @@
         """Shut down gracefully: answer the requests that were accepted, then close."""
         await self.server.shut_down(max(one.deadline for one in self.settings.classes))
         self.forwarder.abandon_all()
+        await self.server.flush()
         self.close()
+        self.server.invariants.log_summary()
 
     def close(self) -> None:
         """Close everything at once."""
--- a/oakbridge/node/read_deadlines.py
+++ b/oakbridge/node/read_deadlines.py
@@ -60,8 +60,7 @@
         for connection, since in self._since.items():
             if since + min_age_us > now:
                 return None
-            # A request that is not read yet is owed a response, too.
-            if not connection.has_requests() and not connection.has_unread_bytes():
+            if connection.is_owed_nothing():
                 return connection
         return None
 
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable, Iterator
 
 from oakbridge.node.attempt import Attempt, AttemptOutcome, ResponseSink
@@ -11,6 +10,7 @@
 from oakbridge.node.connection_pool import ConnectionPool
 from oakbridge.node.endpoint_updates import EndpointUpdates
 from oakbridge.node.http_framing import Headers
+from oakbridge.node.invariants import Invariant, InvariantCounters
 from oakbridge.node.load_report import parse_load_report
 from oakbridge.node.request_writer import encode_request
 from oakbridge.node.server_connection import ServerConnection
@@ -25,8 +25,6 @@
 )
 from oakbridge.policy.settings import ReportSource, Settings
 
-log = logging.getLogger(__name__)
-
 # Of 4xx: these say nothing against the request, nor that it has not run.
 RETRYABLE_CLIENT_ERRORS = (408, 425, 429)
 # A node that shuts down has its last responses written so long before it must.
@@ -54,8 +52,13 @@
         self.sent_at = sent_at
 
     def render(self, timeout_us: int) -> bytes:
-        """Return the bytes to write, with the time that is left."""
-        return encode_request(self.request, timeout_us)
+        """Return the bytes to write, with the time that is left: never more than the client has."""
+        time_left = self._forwarder.client_time_left(self.request)
+        return encode_request(self.request, max(1, min(timeout_us, time_left)))
+
+    def is_wanted(self) -> bool:
+        """Return whether the client still waits for the response."""
+        return not (self.request.answered or self.request.client.client_has_closed())
 
     def on_request_sent(self) -> None:
         """Note that the last byte of a streamed body is written."""
@@ -107,6 +110,7 @@
         self.served = 0  # responses since the start
         self.rejected = 0
         self.failed = 0
+        self.invariants = InvariantCounters()
         self._clock = clock
         self._pool = pool
         self._endpoints = endpoints
@@ -172,6 +176,14 @@
             )
         )
 
+    def client_time_left(self, request: ClientRequest) -> int:
+        """Return for how long the client will wait, from its request's last byte on."""
+        timeout = request.timeout or 0
+        body = request.streamed_body
+        if body is not None and not body.complete:
+            return timeout
+        return request.received_at + timeout - self._clock.now()
+
     @staticmethod
     def _due(request: ClientRequest, class_deadline: int) -> int:
         """Return when a request's response is due at the latest."""
@@ -188,8 +200,10 @@
         return name if name in self._tenants else ""
 
     def on_client_gone(self, request: ClientRequest) -> None:
-        """Note that the client is gone: nothing is owed."""
+        """Note that the client is gone: nothing is owed, and what is not written yet never is."""
         self._forget(request)
+        if request.attempt is not None and not request.attempt.is_written():
+            self._pool.withdraw(request.attempt)
         if request.id:
             self._post(ClientDisconnected(request.id))
 
@@ -198,7 +212,7 @@
 
     def _on_overdue(self, request: ClientRequest) -> None:
         if not request.answered:
-            log.warning("request %d was left unanswered", request.id)
+            self.invariants.violated(Invariant.UNANSWERED_IN_TIME, f"request {request.id}")
             self.abandon(request.id)
             self._post(ClientDisconnected(request.id))
 
@@ -210,7 +224,9 @@
         if request is None or request.attempt is not None:
             # Guards two rules: nothing is sent for what is over, and no two attempts are in flight
             # at once.
-            log.error("not sent: request %d is over or has an attempt out", action.request_id)
+            self.invariants.violated(
+                Invariant.SENT_AFTER_END, f"request {action.request_id}, not sent"
+            )
             self._end_unsent(request, action)
             return
         if request.client.client_has_closed():
@@ -234,6 +250,7 @@
             upload=request.streamed_body,
             on_request_sent=None if request.streamed_body is None else forwarded.on_request_sent,
             start_by=now + action.start_within if action.start_within else None,
+            is_wanted=forwarded.is_wanted,
         )
         self._pool.send(request.attempt)
 
--- a/oakbridge/node/request_parser.py
+++ b/oakbridge/node/request_parser.py
@@ -194,7 +194,7 @@
         request = self.streamed_request
         if request is not None and request.streamed_body is not None:
             self.streamed_request = None
-            request.received_at = self._connection.now()
+            request.received_at = self._connection.last_received_at()
             request.streamed_body.finish()
         elif not self.error_status:
             self._connection.on_request(self._build_request(b"".join(self._body)))
@@ -217,7 +217,7 @@
         )
         request.keep_alive = bool(self._parser.should_keep_alive())
         request.http10 = self._is_http10()
-        request.received_at = self._connection.now()
+        request.received_at = self._connection.last_received_at()
         return request
 
     def _buffer(self, data: bytes) -> None:
--- a/oakbridge/node/run.py
+++ b/oakbridge/node/run.py
@@ -9,10 +9,13 @@
 from contextlib import AbstractAsyncContextManager, nullcontext
 from typing import Any
 
+from oakbridge.node.errors import ConfigUnreadableError
 from oakbridge.node.node import Node
 
 log = logging.getLogger(__name__)
 
+RELOAD_RETRY_S = 0.1  # after a configuration that could not be read for a moment
+
 BuildNode = Callable[[asyncio.AbstractEventLoop], Awaitable[Node]]
 Reload = Callable[[Node], None]
 Lifespan = Callable[[Node], AbstractAsyncContextManager[Any]]
@@ -53,9 +56,20 @@
     """Reload once for all signals that came meanwhile: the file as it is now is all that counts."""
     while await hangup.wait():
         hangup.clear()
-        try:
-            reload(node)
-        except Exception as e:
-            # Contained: a file that is broken or half written must not end a node, and is no fault of the program.
-            reason = str(e) or type(e).__name__
-            log.error("the configuration was not read anew: %s", reason)  # noqa: TRY400
+        if not _reload_once(node, reload):
+            await asyncio.sleep(RELOAD_RETRY_S)
+            hangup.set()
+
+
+def _reload_once(node: Node, reload: Reload) -> bool:
+    """Reload; return whether that is done, for better or worse, rather than to be tried again."""
+    try:
+        reload(node)
+    except ConfigUnreadableError as e:
+        log.warning("the configuration is read again soon: %s", e)
+        return False
+    except Exception as e:
+        # Contained: a file that is broken or half written must not end a node, and is no fault of the program.
+        reason = str(e) or type(e).__name__
+        log.error("the configuration was not read anew: %s", reason)  # noqa: TRY400
+    return True
--- a/oakbridge/node/server_connection.py
+++ b/oakbridge/node/server_connection.py
@@ -9,6 +9,7 @@
 
 import errno
 import logging
+import os
 import socket
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -18,6 +19,7 @@
 from oakbridge.node.clock import Timer
 from oakbridge.node.request_body import StreamedBody
 from oakbridge.node.response_parser import ResponseError, ResponseParser
+from oakbridge.node.system_errors import is_local_connect_error
 from oakbridge.policy.events import AttemptResult
 
 if TYPE_CHECKING:
@@ -30,6 +32,8 @@
 STALL_TIMEOUT_US = 1_000_000
 # One whose response is passed on already has longer: nothing can be retried.
 STREAM_STALL_TIMEOUT_US = 10_000_000
+# The connection comes up by itself, also after a connect() that a signal interrupted.
+_CONNECTING = (errno.EINPROGRESS, errno.EINTR)
 
 
 class ServerConnection:
@@ -81,18 +85,23 @@
 
     # ---- dialling
 
-    def connect(self, attempt: Attempt) -> None:
-        """Connect, then write the attempt."""
+    def connect(self, attempt: Attempt, timeout_us: int) -> None:
+        """Connect, then write the attempt; ``timeout_us``: for the dial, 0 for none.
+
+        Raises OSError if it failed on this machine: the server has seen nothing.
+        """
         self.attempt = attempt
         attempt.connection = self
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         code = self._sock.connect_ex(self.server.address)
         if code == 0:
             self._on_established()
-        elif code == errno.EINPROGRESS:
-            if self._pool.connect_timeout:
-                self._fail_after(self._pool.connect_timeout)
+        elif code in _CONNECTING:
+            if timeout_us:
+                self._fail_after(timeout_us)
             self._await_writable(self._on_connect_done)
+        elif is_local_connect_error(code):
+            raise OSError(code, os.strerror(code))
         else:
             # In the loop's next round: the node still holds the attempt as being started.
             self._pool.loop.call_soon(self._fail)
@@ -110,8 +119,14 @@
     def _on_established(self) -> None:
         self.connected = True
         self._pool.loop.add_reader(self._sock, self._run_guarded, self._on_readable)
-        if self.attempt is not None:
-            self._start_request(self.attempt)
+        attempt = self.attempt
+        if attempt is None:
+            return
+        if attempt.is_wanted():
+            self._start_request(attempt)
+        else:
+            # Guards against an attempt for a client that left while the connection came up.
+            self._pool.loop.call_soon(self._pool.withdraw, attempt)
 
     # ---- writing the request
 
--- a/oakbridge/node/socket_state.py
+++ b/oakbridge/node/socket_state.py
@@ -7,8 +7,12 @@
 import socket
 import struct
 import termios
+from contextlib import suppress
 
 _TCP_ESTABLISHED = b"\x01"  # the state in TCP_INFO while neither side has ended
+_LAST_DATA_RECEIVED = struct.Struct("52xI")  # tcpi_last_data_recv in TCP_INFO: milliseconds ago
+_US_PER_MS = 1000
+_LINGER_FOR_NO_TIME = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 s
 
 
 def has_unread_bytes(sock: socket.socket) -> bool:
@@ -27,6 +31,26 @@
         return None
 
 
+def last_received_ago_us(sock: socket.socket) -> int:
+    """Return how long ago the kernel received the last bytes, in microseconds; 0 if unknown.
+
+    They may have waited there: in a connection that was accepted late, or for a process that stood.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_RECEIVED.size)
+    except OSError:
+        return 0
+    if len(info) < _LAST_DATA_RECEIVED.size:
+        return 0
+    return int(_LAST_DATA_RECEIVED.unpack(info)[0]) * _US_PER_MS
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Have the close of a connection reset it, so that its peer can't take it for a usual end."""
+    with suppress(OSError):  # it has ended already
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_FOR_NO_TIME)
+
+
 def unacknowledged_bytes(transport: asyncio.Transport | None) -> int:
     """Return how many written bytes the peer has not taken, here and in the kernel (SIOCOUTQ)."""
     if transport is None:
--- a/oakbridge/operators/listener.py
+++ b/oakbridge/operators/listener.py
@@ -11,6 +11,7 @@
 import socket
 from collections.abc import Callable
 
+from oakbridge.node.accepting import ACCEPT_RETRY_US, AcceptLog, AcceptStatus, accept
 from oakbridge.node.address import Address
 from oakbridge.node.listener import open_listener
 from oakbridge.operators.protocol import (
@@ -25,6 +26,7 @@
 MAX_CONNECTIONS = 24  # out of the node's reserved descriptors
 LINE_TIMEOUT_S = 10.0  # for a complete line, which a person may type
 CLOSE_TIMEOUT_S = 1.0  # for the client to read the answer and close
+US_PER_S = 1e6
 MAX_LOGGED_BYTES = 80  # of a line
 
 Respond = Callable[[bytes], bytes]  # a line to the line of its answer
@@ -39,6 +41,8 @@
         self._respond = respond
         self._connections: dict[_Connection, None] = {}  # oldest first
         self._attaching: set[asyncio.Task[None]] = set()
+        self._failures = AcceptLog()
+        self._resume_timer: asyncio.TimerHandle | None = None  # set while accept fails
         self._socket = open_listener(address)
         self.address: Address = self._socket.getsockname()
 
@@ -49,11 +53,13 @@
 
     def start(self) -> None:
         """Accept connections."""
-        self.loop.add_reader(self._socket, self._accept)
+        self._listen()
         log.info("listening for operators' commands: address=%s:%d", *self.address)
 
     def close(self) -> None:
         """Stop listening and close all connections."""
+        if self._resume_timer is not None:
+            self._resume_timer.cancel()
         self.loop.remove_reader(self._socket)
         self._socket.close()
         for connection in list(self._connections):
@@ -86,14 +92,27 @@
 
     def _accept(self) -> None:
         for _ in range(MAX_CONNECTIONS):
-            try:
-                accepted, _ = self._socket.accept()
-            except OSError:  # none is waiting, or no descriptor is free at the moment
+            outcome = accept(self._socket, self._failures)
+            if outcome.status is AcceptStatus.QUEUE_EMPTY:
+                return
+            if outcome.connection is None:
+                self._pause()
                 return
-            accepted.setblocking(False)
-            task = self.loop.create_task(self._attach(accepted))
-            self._attaching.add(task)
-            task.add_done_callback(self._attaching.discard)
+            self._serve(outcome.connection)
+
+    def _serve(self, accepted: socket.socket) -> None:
+        accepted.setblocking(False)
+        task = self.loop.create_task(self._attach(accepted))
+        self._attaching.add(task)
+        task.add_done_callback(self._attaching.discard)
+
+    def _pause(self) -> None:
+        """Accept again in a moment: the loop has other work than to fail again at once."""
+        self.loop.remove_reader(self._socket)
+        self._resume_timer = self.loop.call_later(ACCEPT_RETRY_US / US_PER_S, self._listen)
+
+    def _listen(self) -> None:
+        self.loop.add_reader(self._socket, self._accept)
 
     async def _attach(self, accepted: socket.socket) -> None:
         try:
--- a/oakbridge/workers/acceptor.py
+++ b/oakbridge/workers/acceptor.py
@@ -8,16 +8,14 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 from collections.abc import Callable, Sequence
 
+from oakbridge.node.accepting import ACCEPT_RETRY_US, AcceptLog, AcceptStatus, accept
 from oakbridge.node.address import Address
 from oakbridge.node.listener import ACCEPT_BATCH, open_listener
 
-log = logging.getLogger(__name__)
-
-OUT_OF_DESCRIPTORS_PAUSE_S = 0.1
+US_PER_S = 1e6
 
 
 class Acceptor:
@@ -41,6 +39,7 @@
         self._has_capacity = has_capacity
         self._dispatch = dispatch
         self._accepting = False
+        self._failures = AcceptLog()
         self._sockets: list[socket.socket] = []
         try:
             for address in addresses:
@@ -88,13 +87,16 @@
             if not self._has_capacity():
                 self._stop()
                 return
-            try:
-                connection, _ = listening.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            outcome = accept(listening, self._failures)
+            if outcome.connection is not None:
+                self._dispatch(outcome.connection)
+            elif outcome.status is AcceptStatus.QUEUE_EMPTY:
                 return
-            except OSError as e:  # no descriptor is left
-                log.error("accepting stops for a moment: %s", e)  # noqa: TRY400 - its place is known
-                self._stop()
-                self._loop.call_later(OUT_OF_DESCRIPTORS_PAUSE_S, self.accept_while_capacity)
+            else:
+                self._pause()
                 return
-            self._dispatch(connection)
+
+    def _pause(self) -> None:
+        """Accept again in a moment, if there is capacity then."""
+        self._stop()
+        self._loop.call_later(ACCEPT_RETRY_US / US_PER_S, self.accept_while_capacity)
