Carry an agent's actions out again while its disk fails, and tell only what is on disk

Cause: the state machine of an instance replaced its record in memory, the write to SQLite raised, and the actions behind it were dropped: the step stood in one state, polls ended by the same exception, and a token granted in memory but not on disk was told when it was asked for again.

A lease that could not be written is as it was before.

--- a/oakbridge/agent/agent.py
+++ b/oakbridge/agent/agent.py
@@ -19,7 +19,8 @@
     ManagedInstance,
 )
 from oakbridge.agent.records import InstanceRecord, InstanceSpec
-from oakbridge.agent.store import Store
+from oakbridge.agent.startup import retry_while_unavailable
+from oakbridge.agent.store import CHECK_FOLDER_PREFIX, Store
 
 MAX_CONCURRENT_CHECKS = 2
 
@@ -42,14 +43,15 @@
         self.fleet = fleet
         self.zone = zone
         self.host: Host = host or LocalHost()
-        self.lease = Lease(store.journal.load_token_record(), monotonic_us())
+        token_record = retry_while_unavailable(store.journal.load_token_record)
+        self.lease = Lease(token_record, monotonic_us())
         self.instances: dict[str, ManagedInstance] = {}
         self._poll_interval_s = poll_interval_s
         self._checks = asyncio.Semaphore(MAX_CONCURRENT_CHECKS)
 
     def start(self) -> None:
         """Continue with all instances that the journal has."""
-        for name in self.store.journal.load_instances():
+        for name in retry_while_unavailable(self.store.journal.load_instances):
             self.start_instance(name)
 
     def stop(self) -> None:
@@ -72,7 +74,7 @@
 
     def start_instance(self, name: str) -> None:
         """Run an instance that was added."""
-        spec, record = self.store.journal.load_instances()[name]
+        spec, record = retry_while_unavailable(self.store.journal.load_instances)[name]
         context = InstanceContext(self.name, self.store, self.host, self._poll_interval_s)
         instance = ManagedInstance(name, spec, record, context)
         instance.start()
@@ -90,7 +92,7 @@
     async def check_config(self, files: Files) -> str:
         """Return what the node's own checker finds wrong with files; "" if nothing."""
         async with self._checks:
-            folder = Path(tempfile.mkdtemp(prefix="check-", dir=self.store.folder))
+            folder = Path(tempfile.mkdtemp(prefix=CHECK_FOLDER_PREFIX, dir=self.store.folder))
             try:
                 for name, text in files.items():
                     (folder / name).write_text(text, "utf-8")
--- a/oakbridge/agent/errors.py
+++ b/oakbridge/agent/errors.py
@@ -31,6 +31,14 @@
         self.running = running
 
 
+class StepNotDurableError(StepConflictError):
+    """A step can't be written down now: the same request may succeed once the disk can be written."""
+
+    def __init__(self, step_id: str) -> None:
+        super().__init__(f"step {step_id} can't be written down at the moment")
+        self.step_id = step_id
+
+
 class StepInProgressError(StepConflictError):
     """Another step is in progress: the same request may succeed once that one has ended."""
 
@@ -50,6 +58,10 @@
         self.problem = problem
 
 
+class StoreUnavailableError(StoreError):
+    """The disk fails at the moment; the same call may succeed soon."""
+
+
 class AgentConfigError(AgentError, ValueError):
     """``agent.toml`` can't be used."""
 
--- a/oakbridge/agent/generations.py
+++ b/oakbridge/agent/generations.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
 import json
 import os
@@ -16,7 +17,7 @@
 import shutil
 from pathlib import Path
 
-from oakbridge.agent.errors import StoreError
+from oakbridge.agent.errors import StoreError, StoreUnavailableError
 from oakbridge.agent.records import Generation, InstanceRecord
 
 MAX_FILES = 64
@@ -140,16 +141,26 @@
         """Return a generation's files, as they are on disk.
 
         Raises:
-            StoreError: if they can't be read.
+            StoreError: if there is no such generation.
+            StoreUnavailableError: if the disk fails at the moment.
         """
         folder = self.folder(instance, generation)
         try:
             return {path.name: path.read_text("utf-8") for path in sorted(folder.iterdir())}
-        except OSError as e:
+        except (FileNotFoundError, NotADirectoryError) as e:
             raise StoreError(folder, str(e.strerror)) from None
+        except OSError as e:
+            raise StoreUnavailableError(folder, str(e.strerror)) from None
 
     def prune(self, instance: str, record: InstanceRecord) -> None:
-        """Delete all but the newest generations and those that the record or the link refers to."""
+        """Delete all but the newest generations and those that the record or the link refers to.
+
+        Where the disk fails they stay until the next time.
+        """
+        with contextlib.suppress(OSError):
+            self._prune(instance, record)
+
+    def _prune(self, instance: str, record: InstanceRecord) -> None:
         needed = {
             record.current.number,
             record.previous.number,
--- a/oakbridge/agent/journal.py
+++ b/oakbridge/agent/journal.py
@@ -9,8 +9,9 @@
 import contextlib
 import sqlite3
 from pathlib import Path
+from typing import Any
 
-from oakbridge.agent.errors import StoreError
+from oakbridge.agent.errors import StoreError, StoreUnavailableError
 from oakbridge.agent.generations import check_name
 from oakbridge.agent.lease import FencingTokenRecord
 from oakbridge.agent.record_codec import (
@@ -35,20 +36,27 @@
 
 
 class AgentJournal:
-    """The open database; what a method writes is on disk when it returns."""
+    """The open database; what a method writes is on disk when it returns.
+
+    Methods raise StoreUnavailableError if the disk fails at the moment.
+    """
 
     def __init__(self, path: Path) -> None:
         """Open the database, or create it.
 
         Raises:
             StoreError: if it is no database, or one of another format.
+            StoreUnavailableError: if the disk fails at the moment.
         """
+        self._path = path
         try:
             self._database = sqlite3.connect(path, isolation_level=None)
             with contextlib.ExitStack() as on_failure:
                 on_failure.callback(self.close)
                 self._prepare(path)
                 on_failure.pop_all()
+        except sqlite3.OperationalError as e:
+            raise StoreUnavailableError(path, str(e)) from None
         except sqlite3.DatabaseError as e:
             raise StoreError(path, str(e)) from None
 
@@ -88,7 +96,7 @@
         Raises:
             StoreError: if one of them can't be read.
         """
-        rows = self._database.execute("SELECT name, spec, record FROM instances ORDER BY name")
+        rows = self._read("SELECT name, spec, record FROM instances ORDER BY name")
         return {name: (decode_spec(spec), decode_record(record)) for name, spec, record in rows}
 
     def save_instance(self, name: str, spec: InstanceSpec, record: InstanceRecord) -> None:
@@ -107,12 +115,24 @@
     # ---- statements
 
     def _read_fact(self, name: str) -> str | None:
-        row = self._database.execute("SELECT value FROM facts WHERE name = ?", (name,)).fetchone()
-        return None if row is None else str(row[0])
+        rows = self._read("SELECT value FROM facts WHERE name = ?", (name,))
+        return str(rows[0][0]) if rows else None
+
+    def _read(self, query: str, values: tuple[str, ...] = ()) -> list[Any]:
+        try:
+            return self._database.execute(query, values).fetchall()
+        except sqlite3.OperationalError as e:
+            raise StoreUnavailableError(self._path, str(e)) from None
 
     def _write_fact(self, name: str, value: str) -> None:
         self._write("INSERT OR REPLACE INTO facts VALUES (?, ?)", (name, value))
 
     def _write(self, statement: str, values: tuple[str, ...]) -> None:
-        """Execute one statement, which is a transaction of its own."""
-        self._database.execute(statement, values)
+        """Execute one statement, which is a transaction of its own.
+
+        Raises StoreUnavailableError if the disk fails: then nothing was written.
+        """
+        try:
+            self._database.execute(statement, values)
+        except sqlite3.OperationalError as e:
+            raise StoreUnavailableError(self._path, str(e)) from None
--- a/oakbridge/agent/lease.py
+++ b/oakbridge/agent/lease.py
@@ -46,6 +46,14 @@
     expires_in_us: int  # of the lease that stands in the way; 0: none does
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseState:
+    """A lease at one moment."""
+
+    record: FencingTokenRecord
+    expires_us: int
+
+
 class Lease:
     """The lease of one agent.  ``record`` must outlive the process; the lease itself need not."""
 
@@ -81,6 +89,15 @@
             return self._deny(now_us, f"token {token} has no lease here")
         return self._grant(now_us, duration_us, record_changed=False)
 
+    def state(self) -> LeaseState:
+        """Return the lease as it is, for :meth:`restore`."""
+        return LeaseState(self.record, self._expires_us)
+
+    def restore(self, state: LeaseState) -> None:
+        """Have the lease as it was: what was granted since could not be written, and was not told."""
+        self.record = state.record
+        self._expires_us = state.expires_us
+
     def release(self, now_us: int, token: int, holder: str) -> bool:
         """Give the lease back; return whether the record changed.
 
--- a/oakbridge/agent/managed_instance.py
+++ b/oakbridge/agent/managed_instance.py
@@ -13,11 +13,19 @@
 
 from oakbridge.agent.actions import Action
 from oakbridge.agent.clock import monotonic_us
+from oakbridge.agent.errors import StepNotDurableError
 from oakbridge.agent.executor import ActionExecutor
 from oakbridge.agent.generations import Files
 from oakbridge.agent.host import Host, MemberEndpoint, NodeLaunch
 from oakbridge.agent.node_status import NodeStatus
-from oakbridge.agent.records import ChangeState, Generation, InstanceRecord, InstanceSpec, Step
+from oakbridge.agent.records import (
+    ChangeState,
+    Generation,
+    InstanceRecord,
+    InstanceSpec,
+    Step,
+    StepOutcome,
+)
 from oakbridge.agent.state_machine import InstanceStateMachine
 from oakbridge.agent.store import Store
 from oakbridge.agent.supervised_node import SupervisedNode
@@ -34,6 +42,7 @@
 POLL_INTERVAL_S = 0.5
 POLL_TIMEOUT_S = 2.0  # a node that does not answer for so long is unresponsive
 UNKNOWN_GENERATION = 0
+DISK_RETRY_US = 200_000  # after an action that the disk failed
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,8 +99,14 @@
             check_staged=lambda _: self._config_problem,
             run_generation=self._run_generation,
             set_timer=self._set_timer,
+            set_retry_timer=self._set_retry_timer,
         )
 
+    @property
+    def durable_record(self) -> InstanceRecord:
+        """The record on disk: what operators may be told."""
+        return self._executor.durable_record
+
     @property
     def is_drained(self) -> bool:
         """Whether the current generation says that the node should not run."""
@@ -126,10 +141,23 @@
         """Begin a step whose files have been checked; ``config_problem`` is what was found.
 
         Raises:
+            StepNotDurableError: if the disk fails: it may have to be asked for again.
             StepConflictError: if the step can't begin.
         """
-        self._config_problem = config_problem
-        self._executor.begin_step(monotonic_us(), step, files, lease_problem)
+        if not self._executor.is_blocked:
+            self._config_problem = config_problem
+            self._executor.begin_step(monotonic_us(), step, files, lease_problem)
+        if not self._is_durable(step.step_id):
+            raise StepNotDurableError(step.step_id)
+
+    def outcome(self, step_id: str) -> StepOutcome | None:
+        """Return how a step ended, by the record on disk; None if it has no end there."""
+        return next((o for o in self.durable_record.outcomes if o.step_id == step_id), None)
+
+    def _is_durable(self, step_id: str) -> bool:
+        record = self.durable_record
+        in_progress = record.step is not None and record.step.step_id == step_id
+        return in_progress or self.outcome(step_id) is not None
 
     def _execute(self, actions: list[Action]) -> None:
         if actions:
@@ -138,6 +166,15 @@
     def _set_timer(self, at_us: int) -> None:
         self._timers.schedule(at_us, self._on_timer)
 
+    def _set_retry_timer(self) -> None:
+        self._timers.schedule(monotonic_us() + DISK_RETRY_US, self._retry)
+
+    def _retry(self) -> None:
+        """Carry out what waits for the disk; then take note of what happened to the node meanwhile."""
+        self._executor.retry(monotonic_us())
+        if not self._executor.is_blocked:
+            self._report_drained()
+
     def _on_timer(self) -> None:
         self._execute(self.machine.on_timer(monotonic_us()))
 
@@ -178,13 +215,16 @@
 
     def _on_node_exit(self, reason: str, expected: bool) -> None:
         self.node_answer = {}
-        if not expected:
+        # While actions wait for the disk, the process that ended is one of before the change.
+        if not expected and not self._executor.is_blocked:
             self._execute(self.machine.on_failed(reason))
         self._report_drained()
 
     def _report_drained(self) -> None:
         """Report a drained instance ready once its node has ended."""
-        if self.is_drained and self.node.state is sup.State.STOPPED:
+        if self._executor.is_blocked:
+            return  # until the node has been told to run what it should
+        if self.node.state is sup.State.STOPPED and self.is_drained:
             self._execute(self.machine.on_ready(monotonic_us()))
 
     async def _poll(self) -> None:
@@ -201,14 +241,17 @@
                 continue
             self.node_answer = answer
             self.answered_at_s = time.time()
-            self._evaluate(NodeStatus.from_json(answer))
+            try:
+                self._evaluate(NodeStatus.from_json(answer))
+            except Exception:  # contained: a node that is polled no more would never be ready
+                log.exception("%s: its status could not be evaluated", self.name)
 
     def _evaluate(self, status: NodeStatus) -> None:
         """Derive the events for the supervisor and the state machine from the node's status."""
         if self.node.pid is None or status.pid != self.node.pid:
             return
-        if not self.node.is_up:
-            return  # the answer is the old process's, which is ending
+        if not self.node.is_up or self._executor.is_blocked:
+            return  # the answer is the old process's, which is ending, or will be told to
         if status.source_problem:
             reason = f"its server file is {status.source_problem}"
             self._execute(self.machine.on_failed(reason))
--- a/oakbridge/agent/node_process.py
+++ b/oakbridge/agent/node_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 import os
 import signal
 import socket
@@ -11,9 +12,12 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import BinaryIO
 
 from oakbridge.agent.host import ExitCallback, NodeLaunch
 
+log = logging.getLogger(__name__)
+
 MAX_LOG_BYTES = 8 * 1024 * 1024  # a longer log is put aside at the node's next start
 OLD_LOG_SUFFIX = ".old"
 CONNECT_TIMEOUT_S = 1.0
@@ -73,17 +77,21 @@
 
 def start_node(launch: NodeLaunch, on_exit: ExitCallback) -> LocalProcess:
     """Start a node in a session of its own, so that it outlives its agent.  Raises OSError."""
-    _rotate(launch.log)
-    with launch.log.open("ab") as log:
+    with _open_log(launch.log) as log_file:
         child = subprocess.Popen(
             _command(launch),
             stdin=subprocess.DEVNULL,
-            stdout=log,
-            stderr=log,
+            stdout=log_file,
+            stderr=log_file,
             start_new_session=True,
             cwd="/",
         )
-    return LocalProcess(child.pid, on_exit, child)
+    try:
+        return LocalProcess(child.pid, on_exit, child)
+    except OSError:
+        child.kill()  # nobody would hear of its end
+        child.wait()
+        raise
 
 
 def _command(launch: NodeLaunch) -> list[str]:
@@ -97,6 +105,16 @@
     return command
 
 
+def _open_log(path: Path) -> BinaryIO:
+    """Open a node's log; where the disk fails, the node runs without one until its next start."""
+    try:
+        _rotate(path)
+        return path.open("ab")
+    except OSError as e:
+        log.warning("%s can't be opened, its node runs without a log: %s", path, e)
+        return Path(os.devnull).open("ab")
+
+
 def _rotate(log: Path) -> None:
     if log.exists() and log.stat().st_size > MAX_LOG_BYTES:
         log.replace(log.with_suffix(OLD_LOG_SUFFIX))
--- a/oakbridge/agent/operator_api.py
+++ b/oakbridge/agent/operator_api.py
@@ -10,7 +10,13 @@
 
 from oakbridge.agent.agent import Agent
 from oakbridge.agent.clock import monotonic_us
-from oakbridge.agent.errors import StepConflictError, StepInProgressError, StoreError
+from oakbridge.agent.errors import (
+    StepConflictError,
+    StepInProgressError,
+    StepNotDurableError,
+    StoreError,
+    StoreUnavailableError,
+)
 from oakbridge.agent.generations import check_files, digest_of
 from oakbridge.agent.lease import LeaseDenied, LeaseGranted
 from oakbridge.agent.managed_instance import CONFIG_FILE, ManagedInstance
@@ -67,12 +73,15 @@
         generation = Generation(request.generation)
         try:
             files = self._agent.store.generations.read_files(request.instance, generation)
+        except StoreUnavailableError as e:
+            return _unavailable(e)
         except StoreError as e:
             return _error(HTTPStatus.NOT_FOUND, str(e))
         return Response(HTTPStatus.OK, {"files": files})
 
     def _lease(self, request: LeaseRequest, holder: str) -> Response:
         lease, now_us = self._agent.lease, monotonic_us()
+        before = lease.state()
         if request.renew:
             result = lease.renew(now_us, request.token, holder, request.duration_us)
         else:
@@ -80,13 +89,22 @@
         if isinstance(result, LeaseDenied):
             return _denial(result)
         if result.record_changed:
-            self._agent.save_token_record()  # a token must be on disk before it is told
+            try:
+                self._agent.save_token_record()  # a token must be on disk before it is told
+            except StoreUnavailableError as e:
+                lease.restore(before)
+                return _unavailable(e)
         return _grant(result)
 
     def _release(self, request: ReleaseRequest, holder: str) -> Response:
         lease = self._agent.lease
+        before = lease.state()
         if lease.release(monotonic_us(), request.token, holder):
-            self._agent.save_token_record()
+            try:
+                self._agent.save_token_record()
+            except StoreUnavailableError as e:
+                lease.restore(before)  # it ends by its time, or as it is released again
+                return _unavailable(e)
         return Response(HTTPStatus.OK, {"token": lease.record.token})
 
     async def _step(self, request: StepRequest, holder: str) -> Response:
@@ -94,7 +112,7 @@
         instance = agent.instances.get(request.instance)
         if instance is None:
             return _error(HTTPStatus.NOT_FOUND, f"instance: there is no {request.instance} here")
-        if (ended := instance.machine.outcome(request.step_id)) is not None:
+        if (ended := instance.outcome(request.step_id)) is not None:
             return _outcome(ended)
         denied = agent.lease.check(monotonic_us(), request.token, holder)
         if denied is not None:
@@ -105,7 +123,10 @@
             return _error(HTTPStatus.BAD_REQUEST, str(e))
         if CONFIG_FILE not in request.files:
             return _error(HTTPStatus.BAD_REQUEST, f"files: expected {CONFIG_FILE} among them")
-        problem = await agent.check_config(request.files)
+        try:
+            problem = await agent.check_config(request.files)
+        except OSError as e:
+            return _error(HTTPStatus.SERVICE_UNAVAILABLE, f"the files can't be checked now: {e}")
         return self._begin_step(instance, request, holder, problem)
 
     def _begin_step(
@@ -121,13 +142,13 @@
 
         try:
             instance.begin_step(step, request.files, config_problem, lease_problem)
-        except StepInProgressError as e:
+        except (StepInProgressError, StepNotDurableError) as e:
             return _error(HTTPStatus.SERVICE_UNAVAILABLE, str(e))
         except StepConflictError as e:
             return _error(HTTPStatus.CONFLICT, str(e))
-        if (ended := instance.machine.outcome(step.step_id)) is not None:
+        if (ended := instance.outcome(step.step_id)) is not None:
             return _outcome(ended)
-        accepted = {"step": step.step_id, "change": instance.machine.state.value}
+        accepted = {"step": step.step_id, "change": instance.durable_record.state.value}
         return Response(HTTPStatus.ACCEPTED, accepted)
 
 
@@ -143,6 +164,11 @@
     return Response(status, {"error": text})
 
 
+def _unavailable(error: StoreUnavailableError) -> Response:
+    """Return that the disk fails now: the same request may succeed soon."""
+    return _error(HTTPStatus.SERVICE_UNAVAILABLE, str(error))
+
+
 def _grant(granted: LeaseGranted) -> Response:
     body = {"token": granted.token, "length_s": granted.duration_us / US_PER_S}
     return Response(HTTPStatus.OK, body)
--- a/oakbridge/agent/status_codec.py
+++ b/oakbridge/agent/status_codec.py
@@ -38,7 +38,7 @@
 
 def encode_instance(instance: ManagedInstance) -> JsonObject:
     """Return all that an agent knows of an instance."""
-    record = instance.machine.record
+    record = instance.durable_record  # what is not on disk yet could be forgotten
     supervisor = instance.node.supervisor
     return {
         "name": instance.name,
--- a/oakbridge/agent/store.py
+++ b/oakbridge/agent/store.py
@@ -9,12 +9,15 @@
 
 import fcntl
 import os
+import shutil
 from pathlib import Path
 
-from oakbridge.agent.errors import StoreError
+from oakbridge.agent.errors import StoreError, StoreUnavailableError
 from oakbridge.agent.generations import GenerationFolders
 from oakbridge.agent.journal import AgentJournal
 
+CHECK_FOLDER_PREFIX = "check-"  # of folders in which files are checked before they are a generation
+
 
 class Store:
     """The journal and the generations of one agent."""
@@ -24,6 +27,7 @@
 
         Raises:
             StoreError: if another agent has it, or it can't be used.
+            StoreUnavailableError: if the disk fails at the moment.
         """
         self.folder = folder
         self._lock = _lock(folder)
@@ -32,6 +36,8 @@
         except StoreError:
             os.close(self._lock)
             raise
+        for leftover in folder.glob(f"{CHECK_FOLDER_PREFIX}*"):  # of an agent that was killed
+            shutil.rmtree(leftover, ignore_errors=True)
         self.generations = GenerationFolders(folder / "instances")
 
     def close(self) -> None:
@@ -51,8 +57,10 @@
     try:
         folder.mkdir(mode=0o700, parents=True, exist_ok=True)
         lock = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-    except OSError as e:
+    except PermissionError as e:
         raise StoreError(folder, str(e.strerror)) from None
+    except OSError as e:
+        raise StoreUnavailableError(folder, str(e.strerror)) from None
     try:
         fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except OSError:
--- a/oakbridge/agent/supervised_node.py
+++ b/oakbridge/agent/supervised_node.py
@@ -103,8 +103,8 @@
             self.process.send_signal(number)
 
     def _start(self) -> None:
-        launch = self._prepare_launch()
         try:
+            launch = self._prepare_launch()
             self.process = self._host.start_node(launch, self._exited)
         except OSError as e:
             reason = f"it could not be started: {e}"
--- a/oakbridge/cli/agent.py
+++ b/oakbridge/cli/agent.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 import ssl
+from functools import partial
 from pathlib import Path
 
 import click
@@ -14,12 +15,14 @@
 from oakbridge.agent.config import AgentConfig, read_agent_config
 from oakbridge.agent.errors import AgentConfigError, StoreError
 from oakbridge.agent.operator_api import OperatorApi
+from oakbridge.agent.startup import retry_while_unavailable
 from oakbridge.agent.store import Store
 from oakbridge.cli.common import CommandFailedError, InvalidInputError
 from oakbridge.cli.logs import log_option, start_logs
 from oakbridge.fleet.errors import PkiError
 from oakbridge.fleet.pki import tls_context
 from oakbridge.fleet.server import AgentServer
+from oakbridge.node.startup import new_event_loop, retry_resource_errors_async
 
 log = logging.getLogger(__name__)
 
@@ -34,8 +37,10 @@
     server = AgentServer(tls, config.fleet, OperatorApi(agent).handle)
     for instance in config.instances:
         control = config.state / f"{instance.name}.sock"
-        agent.add_instance(instance.name, instance.listen, control, instance.member)
-    await server.start(config.listen)
+        retry_while_unavailable(
+            partial(agent.add_instance, instance.name, instance.listen, control, instance.member)
+        )
+    await retry_resource_errors_async(lambda: server.start(config.listen), "listening")
     try:
         agent.start()
         log.info("agent %s listens on %s:%d", config.name, *server.address)
@@ -60,7 +65,9 @@
         config = read_agent_config(path)
         start_logs(log_format, agent=config.name)
         tls = tls_context(config.authority, config.certificate, server=True)
-        asyncio.run(run(config, Store(config.state), tls))
+        store = retry_while_unavailable(lambda: Store(config.state))
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(run(config, store, tls))
     except (AgentConfigError, StoreError, PkiError) as e:
         raise InvalidInputError(str(e)) from None
     except OSError as e:
--- a/oakbridge/cli/rollout/session.py
+++ b/oakbridge/cli/rollout/session.py
@@ -21,8 +21,13 @@
 from oakbridge.fleet import messages
 from oakbridge.fleet.client import FleetClient, LeaseResult
 from oakbridge.rollout.change import Change, RollBackRollout
-from oakbridge.rollout.coordinator import Coordinator, RolloutOptions
-from oakbridge.rollout.journal import Journal, JournalEntry, JournalError
+from oakbridge.rollout.coordinator import JOURNAL_PATIENCE_S, Coordinator, RolloutOptions
+from oakbridge.rollout.journal import (
+    Journal,
+    JournalEntry,
+    JournalError,
+    JournalUnavailableError,
+)
 from oakbridge.rollout.lease_holder import LEASE_S
 from oakbridge.rollout.plan import Target
 from oakbridge.rollout.record import InstanceOutcome, InstanceStatus, Phase, RolloutRecord
@@ -30,6 +35,7 @@
 EXIT_PARTIAL = 3  # done but for some instances that are unknown
 EXIT_HALTED = 4  # halted or rolled back
 REFRESH_S = 0.25  # the least time between two pictures of the live view
+JOURNAL_RETRY_S = 0.25  # after a new rollout that could not be written
 CALL_TIMEOUT_S = 5.0  # of one call to an agent
 
 Result = TypeVar("Result")
@@ -78,7 +84,7 @@
                 change=change,
                 record=record,
             )
-            journal.add(entry)
+            await _add_entry(journal, entry)
             return RolloutResult(
                 await self._coordinate(operator, journal, entry, held, sources), unseen
             )
@@ -163,6 +169,19 @@
             raise click.exceptions.Exit(EXIT_PARTIAL)
 
 
+async def _add_entry(journal: Journal, entry: JournalEntry) -> None:
+    """Write a new rollout, again while the disk fails.  Raise JournalUnavailableError after a while."""
+    give_up_at_s = time.monotonic() + JOURNAL_PATIENCE_S
+    while True:
+        try:
+            journal.add(entry)
+            return
+        except JournalUnavailableError:
+            if time.monotonic() >= give_up_at_s:
+                raise
+        await asyncio.sleep(JOURNAL_RETRY_S)
+
+
 def _live_view_updater(live: Live) -> Callable[[Coordinator], None]:
     last_s = 0.0
 
--- a/oakbridge/node/startup.py
+++ b/oakbridge/node/startup.py
@@ -10,7 +10,7 @@
 import logging
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 from oakbridge.node.system_errors import is_resource_error
@@ -43,6 +43,19 @@
         time.sleep(RETRY_S)
 
 
+async def retry_resource_errors_async(call: Callable[[], Awaitable[T]], what: str) -> T:
+    """Do as :func:`retry_resource_errors` for a coroutine, without blocking the loop."""
+    give_up_at = time.monotonic() + PATIENCE_S
+    while True:
+        try:
+            return await call()
+        except OSError as error:
+            if not is_resource_error(error) or time.monotonic() >= give_up_at:
+                raise
+            log.warning("%s fails and is tried again: %s", what, error)
+        await asyncio.sleep(RETRY_S)
+
+
 def new_event_loop() -> asyncio.AbstractEventLoop:
     """Return a new event loop, for ``asyncio.Runner``.  Raises OSError."""
     return retry_resource_errors(_make_event_loop, "making the event loop")
--- a/oakbridge/rollout/coordinator.py
+++ b/oakbridge/rollout/coordinator.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import logging
 import time
 from collections import defaultdict, deque
 from collections.abc import Callable, Coroutine, Mapping
@@ -19,19 +20,22 @@
 from oakbridge.rollout.agent_watcher import AgentWatcher
 from oakbridge.rollout.gate import GateResult, GateRules, ResponseCounts, Verdict
 from oakbridge.rollout.gate_window import FleetView, GateWindow
-from oakbridge.rollout.journal import Journal, JournalEntry
+from oakbridge.rollout.journal import Journal, JournalEntry, JournalUnavailableError
 from oakbridge.rollout.lease_holder import LeaseHolder
 from oakbridge.rollout.machine import RolloutMachine
 from oakbridge.rollout.plan import Target
-from oakbridge.rollout.record import InstanceOutcome, Phase
+from oakbridge.rollout.record import InstanceOutcome, Phase, RolloutRecord
 from oakbridge.rollout.silence_timeout import SilenceTimeout
 from oakbridge.rollout.step_sender import StepRefusedError, StepSender
 
+log = logging.getLogger(__name__)
+
 TICK_S = 0.25  # the longest wait between two checks of what has expired
 # The intervals at which an agent is polled: while it is awaited, during a gate, and otherwise.
 AWAITED_POLL_S = 0.25
 GATE_POLL_S = 1.0
 IDLE_POLL_S = 5.0
+JOURNAL_PATIENCE_S = 30.0  # for a journal that can't be written; nothing is sent meanwhile
 GATE_POLLS_PER_S = 500  # the most polls in a second during a gate, over all agents
 
 
@@ -96,6 +100,7 @@
         self._queue: deque[actions.Action] = deque()
         self._tasks: set[asyncio.Task[None]] = set()
         self._finished: Phase | None = None
+        self._journal_failing_since_s: float | None = None
 
     @property
     def held(self) -> LeaseResult:
@@ -150,11 +155,31 @@
     def _carry_out_queue(self) -> None:
         """Carry out the queued actions in order, those that wait for agents in tasks."""
         records = [a.record for a in self._queue if isinstance(a, actions.Persist)]
-        if records:  # the last one covers the whole queue, and is written before any of it is done
-            self._journal.update(self.rollout, records[-1])
+        # The last one covers the whole queue, and is written before any of it is done.
+        if records and not self._write_record(records[-1]):
+            return
         while self._queue:
             self._carry_out(self._queue.popleft())
 
+    def _write_record(self, record: RolloutRecord) -> bool:
+        """Write the record; return False if the disk fails, and the queue has to wait.
+
+        It is tried again with each round of events.  Raises JournalUnavailableError after
+        :data:`JOURNAL_PATIENCE_S`: then the rollout can be resumed from the record before.
+        """
+        now_s = time.monotonic()
+        try:
+            self._journal.update(self.rollout, record)
+        except JournalUnavailableError as error:
+            if self._journal_failing_since_s is None:
+                self._journal_failing_since_s = now_s
+                log.warning("the journal can't be written, and is tried again: %s", error)
+            if now_s - self._journal_failing_since_s >= JOURNAL_PATIENCE_S:
+                raise
+            return False
+        self._journal_failing_since_s = None
+        return True
+
     def _carry_out(self, action: actions.Action) -> None:
         match action:
             case actions.Persist():
--- a/oakbridge/rollout/journal.py
+++ b/oakbridge/rollout/journal.py
@@ -33,6 +33,10 @@
         self.problem, self.place = problem, place
 
 
+class JournalUnavailableError(JournalError):
+    """The disk fails at the moment; the same call may succeed soon."""
+
+
 class UnknownRolloutError(JournalError):
     """The journal has no rollout of that number."""
 
@@ -59,7 +63,7 @@
 
     def __init__(self, folder: Path) -> None:
         """Open it, or create it.  Raise :class:`JournalError` if it has another format."""
-        path = folder / "journal.db"
+        path = self._path = folder / "journal.db"
         try:
             self._db = sqlite3.connect(path, isolation_level=None, timeout=BUSY_TIMEOUT_S)
         except sqlite3.DatabaseError as error:
@@ -95,7 +99,7 @@
         self._db.close()
 
     def add(self, entry: JournalEntry) -> None:
-        """Write a new rollout."""
+        """Write a new rollout.  Raise :class:`JournalUnavailableError` if the disk fails."""
         row = (
             entry.id,
             entry.operator,
@@ -105,24 +109,37 @@
             json.dumps(encode_change(entry.change)),
             encode_record(entry.record),
         )
-        self._db.execute("INSERT INTO rollouts VALUES (?, ?, ?, ?, ?, ?, ?)", row)
+        self._execute("INSERT INTO rollouts VALUES (?, ?, ?, ?, ?, ?, ?)", row)
 
     def update(self, rollout: int, record: RolloutRecord) -> None:
-        """Write the present record of a rollout."""
+        """Write the present record of a rollout.
+
+        Raise :class:`JournalUnavailableError` if the disk fails.
+        """
         row = encode_record(record), time.time(), rollout
-        self._db.execute("UPDATE rollouts SET record = ?, changed = ? WHERE id = ?", row)
+        self._execute("UPDATE rollouts SET record = ?, changed = ? WHERE id = ?", row)
 
     def entries(self, limit: int = 20) -> list[JournalEntry]:
         """Return the newest rollouts, newest first.  Raise :class:`JournalError`."""
-        rows = self._db.execute("SELECT * FROM rollouts ORDER BY id DESC LIMIT ?", (limit,))
+        rows = self._execute("SELECT * FROM rollouts ORDER BY id DESC LIMIT ?", (limit,))
         return [_entry(row) for row in rows]
 
     def entry(self, rollout: int) -> JournalEntry:
         """Return one rollout.  Raise :class:`JournalError` if it is missing or not valid."""
-        row = self._db.execute("SELECT * FROM rollouts WHERE id = ?", (rollout,)).fetchone()
-        if row is None:
+        rows = self._execute("SELECT * FROM rollouts WHERE id = ?", (rollout,))
+        if not rows:
             raise UnknownRolloutError(rollout)
-        return _entry(row)
+        return _entry(rows[0])
+
+    def _execute(self, statement: str, values: tuple[Any, ...]) -> list[Any]:
+        """Execute one statement, which is a transaction of its own; return its rows.
+
+        Raises JournalUnavailableError if the disk fails: then nothing was written.
+        """
+        try:
+            return self._db.execute(statement, values).fetchall()
+        except sqlite3.OperationalError as error:
+            raise JournalUnavailableError(str(error), str(self._path)) from None
 
 
 def _entry(row: tuple[Any, ...]) -> JournalEntry:
