Ask agents that could not write for the lease again; lose a log line that can't be written

Two faults: an agent whose disk fails answers the lease with 503, which the tool took for a refusal and ended; and the shim's disk took in the logs beside the agent's folder, where Python's logging prints a traceback for a line that it can't write.

Change: agents that answer 5xx to a lease or its return are asked again (9 s, 1.5 s); logging.raiseExceptions is off where logs start; the shim's prefix ends with the folder.

--- a/oakbridge/__main__.py
+++ b/oakbridge/__main__.py
@@ -54,6 +54,7 @@
     logging.basicConfig(
         level=level, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s"
     )
+    logging.raiseExceptions = False  # a line that can't be written is lost, and nothing else
 
 
 def main() -> int:
--- a/oakbridge/cli/logs.py
+++ b/oakbridge/cli/logs.py
@@ -29,6 +29,7 @@
     else:
         handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
     logging.basicConfig(level=level, handlers=[handler], force=True)
+    logging.raiseExceptions = False  # a line that can't be written is lost, and nothing else
 
 
 def _json(always: dict[str, str]) -> logging.Formatter:
--- a/oakbridge/fleet/client.py
+++ b/oakbridge/fleet/client.py
@@ -24,6 +24,10 @@
 MAX_CONCURRENT_CALLS = 64
 CALL_TIMEOUT_S = 5.0
 RELEASE_TIMEOUT_S = 1.5
+# An agent that answers 5xx has decided nothing, as its disk fails for a moment: it is asked again.
+UNAVAILABLE_RETRY_S = 0.3
+UNAVAILABLE_RETRIES = 30
+RELEASE_RETRIES = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,7 +138,13 @@
 
     async def release_lease(self, lease: LeaseResult) -> None:
         """Give the lease back; at an agent that does not answer soon it ends by itself."""
-        await self.call_all(ReleaseRequest(lease.token), lease.granted_by, RELEASE_TIMEOUT_S)
+        request = ReleaseRequest(lease.token)
+        responses = await self.call_all(request, lease.granted_by, RELEASE_TIMEOUT_S)
+        for _ in range(RELEASE_RETRIES):
+            if not _unavailable(responses):
+                break
+            await asyncio.sleep(UNAVAILABLE_RETRY_S)
+            responses = await self._call_unavailable_again(request, responses, RELEASE_TIMEOUT_S)
 
     def _connection_to(self, agent: str) -> AgentConnection:
         connection = self._connections.get(agent)
@@ -149,15 +159,35 @@
         return max((int(r.body["lease"]["token"]) for r in responses if r.ok), default=0)
 
     async def _request_lease(self, token: int, duration_s: float) -> LeaseResult:
-        responses = await self.call_all(LeaseRequest(token, int(duration_s * US_PER_S)))
-        return LeaseResult(
-            token,
-            granted_by=tuple(r.agent for r in responses if r.ok),
-            denied=tuple(r for r in responses if r.status and not r.ok),
-            unanswered=tuple(r for r in responses if not r.status),
-        )
+        request = LeaseRequest(token, int(duration_s * US_PER_S))
+        responses = await self.call_all(request)
+        for _ in range(UNAVAILABLE_RETRIES):
+            result = LeaseResult(
+                token,
+                granted_by=tuple(r.agent for r in responses if r.ok),
+                denied=tuple(r for r in responses if r.status and not r.ok),
+                unanswered=tuple(r for r in responses if not r.status),
+            )
+            if result.has_majority(len(responses)) or not _unavailable(responses):
+                break
+            await asyncio.sleep(UNAVAILABLE_RETRY_S)
+            responses = await self._call_unavailable_again(request, responses)
+        return result
+
+    async def _call_unavailable_again(
+        self, request: Request, responses: list[AgentResponse], timeout_s: float | None = None
+    ) -> list[AgentResponse]:
+        """Send a request again to the agents that could not decide; return all responses."""
+        agents = tuple(r.agent for r in _unavailable(responses))
+        again = await self.call_all(request, agents, timeout_s)
+        by_agent = {r.agent: r for r in again}
+        return [by_agent.get(r.agent, r) for r in responses]
 
     def _votes(self, result: LeaseResult) -> quorum.Votes:
         return quorum.Votes(
             self.name, len(self.inventory.agents), len(result.granted_by), result.rival_holders()
         )
+
+
+def _unavailable(responses: list[AgentResponse]) -> list[AgentResponse]:
+    return [r for r in responses if r.status >= HTTPStatus.INTERNAL_SERVER_ERROR]
--- a/tests/faults/fault_control.py
+++ b/tests/faults/fault_control.py
@@ -64,7 +64,7 @@
             "LD_PRELOAD": str(build_shim()),
             "FAULT_CONTROL": str(path),
             "FAULT_SEED": str(seed),
-        } | ({} if disk is None else {"FAULT_DISK": str(disk)})
+        } | ({} if disk is None else {"FAULT_DISK": f"{disk}/"})
 
     def start(self, fault: Fault, error: int = errno.EIO, percent: int = 100) -> None:
         """Have a share of the calls fail with an errno from now on."""
