--- a/oakbridge/__main__.py
+++ b/oakbridge/__main__.py
@@ -12,7 +12,7 @@
 from oakbridge.node.errors import ConfigError
 from oakbridge.node.node import Node
 from oakbridge.node.run import serve
-from oakbridge.node.startup import new_event_loop
+from oakbridge.node.startup import run_in_new_loop
 
 
 def reload(node: Node) -> None:
@@ -66,8 +66,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens to it: it ends no node
     start_log()
     try:
-        with asyncio.Runner(loop_factory=new_event_loop) as runner:
-            runner.run(run())
+        run_in_new_loop(run())
     except ConfigError as e:
         print(f"oakbridge: {e}", file=sys.stderr)
         return 2
--- a/oakbridge/cli/agent.py
+++ b/oakbridge/cli/agent.py
@@ -22,7 +22,7 @@
 from oakbridge.fleet.errors import PkiError
 from oakbridge.fleet.pki import tls_context
 from oakbridge.fleet.server import AgentServer
-from oakbridge.node.startup import new_event_loop, retry_resource_errors_async
+from oakbridge.node.startup import retry_resource_errors_async, run_in_new_loop
 
 log = logging.getLogger(__name__)
 
@@ -66,8 +66,7 @@
         start_logs(log_format, agent=config.name)
         tls = tls_context(config.authority, config.certificate, server=True)
         store = retry_while_unavailable(lambda: Store(config.state))
-        with asyncio.Runner(loop_factory=new_event_loop) as runner:
-            runner.run(run(config, store, tls))
+        run_in_new_loop(run(config, store, tls))
     except (AgentConfigError, StoreError, PkiError) as e:
         raise InvalidInputError(str(e)) from None
     except OSError as e:
--- a/oakbridge/cli/serve.py
+++ b/oakbridge/cli/serve.py
@@ -31,9 +31,10 @@
 from oakbridge.node.address import parse_address
 from oakbridge.node.clock import Clock
 from oakbridge.node.endpoint_source import EndpointSource
-from oakbridge.node.errors import ConfigError
+from oakbridge.node.errors import ConfigError, ConfigUnreadableError
 from oakbridge.node.node import Listening, Node
 from oakbridge.node.run import serve
+from oakbridge.node.startup import run_in_new_loop
 from oakbridge.sources.file_source import FileOptions, FileSource
 from oakbridge.sources.inline_source import InlineSource
 from oakbridge.workers.errors import WorkerLimitsError
@@ -302,9 +303,16 @@
 def reload(options: ServeOptions, node: Node) -> None:
     """Read the file anew, and check the server file.
 
-    Raises ConfigFileError or ConfigError with all mistakes, and changes nothing then.
+    Raises ConfigFileError or ConfigError with all mistakes, and changes nothing then;
+    ConfigUnreadableError if the file may be readable in a moment.
     """
-    node.reload(options.load().config)
+    try:
+        loaded = options.load()
+    except ConfigFileError as error:
+        if error.may_pass:
+            raise ConfigUnreadableError(str(error)) from None
+        raise
+    node.reload(loaded.config)
     node.source.fetch()
 
 
@@ -375,9 +383,9 @@
     worker_count = workers or loaded.file.node.workers
     try:
         if worker_count > 1 and not worker:
-            raise click.exceptions.Exit(asyncio.run(supervise(options, loaded, worker_count)))
+            raise click.exceptions.Exit(run_in_new_loop(supervise(options, loaded, worker_count)))
         to_supervisor = None if channel is None else socket.socket(fileno=channel)
-        asyncio.run(
+        run_in_new_loop(
             serve(
                 lambda loop: build_ready_node(loaded, loop, listens=to_supervisor is None),
                 lambda node: reload(options, node),
--- a/oakbridge/config/errors.py
+++ b/oakbridge/config/errors.py
@@ -6,8 +6,12 @@
 
 
 class ConfigFileError(ValueError):
-    """A configuration file that can't be used; ``problems`` has every mistake with its place."""
+    """A configuration file that can't be used; ``problems`` has every mistake with its place.
 
-    def __init__(self, problems: list[Problem]) -> None:
+    ``may_pass``: it could not be read, and may be readable in a moment.
+    """
+
+    def __init__(self, problems: list[Problem], *, may_pass: bool = False) -> None:
+        self.may_pass = may_pass
         super().__init__("\n".join(map(str, problems)))
         self.problems = problems
--- a/oakbridge/config/toml_file.py
+++ b/oakbridge/config/toml_file.py
@@ -10,6 +10,7 @@
 from oakbridge.config.errors import ConfigFileError
 from oakbridge.config.field_types import Table
 from oakbridge.config.validation_problems import problem_of
+from oakbridge.node.system_errors import is_read_error
 from oakbridge.sources.decoding import BYTE_ORDER_MARK, FileKind, decode_toml, decode_utf8
 from oakbridge.sources.errors import DecodeError
 from oakbridge.sources.field_lines import field_lines
@@ -29,7 +30,8 @@
         return path.read_bytes()
     except OSError as error:
         reason = error.strerror or str(error)
-        raise ConfigFileError([Problem(str(path), (), reason)]) from None
+        problem = Problem(str(path), (), reason)
+        raise ConfigFileError([problem], may_pass=is_read_error(error)) from None
 
 
 def parse_tables(data: bytes, file: str, model: type[T]) -> T:
--- a/oakbridge/fleet/pki.py
+++ b/oakbridge/fleet/pki.py
@@ -21,7 +21,8 @@
 
 AUTHORITY_DAYS = 3650
 CERTIFICATE_DAYS = 397
-CLOCK_SKEW = datetime.timedelta(minutes=5)  # by which certificates are backdated
+# By which certificates are backdated: clocks of hosts may be stepped by an hour, either way.
+CLOCK_SKEW = datetime.timedelta(hours=3)
 MAX_COMMON_NAME_LENGTH = 64  # of X.509
 AUTHORITY_CERTIFICATE = "ca.crt"
 AUTHORITY_KEY = "ca.key"
--- a/oakbridge/handover/channel.py
+++ b/oakbridge/handover/channel.py
@@ -4,6 +4,7 @@
 
 import array
 import asyncio
+import errno
 import logging
 import os
 import socket
@@ -13,6 +14,7 @@
 from oakbridge.handover.errors import HandoverMessageError
 from oakbridge.handover.messages import Message, decode, encode
 from oakbridge.handover.packets import MAX_PACKET_BYTES, PacketAssembler, split_into_packets
+from oakbridge.node.system_errors import RESOURCE_ERRORS
 
 log = logging.getLogger(__name__)
 
@@ -20,6 +22,10 @@
 MAX_PACKETS_PER_TURN = 32  # read in one turn of the loop
 MAX_QUEUED_PACKETS = 4096  # waiting to be written; a process that leaves more unread counts as gone
 
+WRITE_RETRY_S = 0.02  # after a write for which the system had no room
+
+# The system is short of buffers, or too many descriptors are on their way.
+_PASSING_WRITE_ERRORS = RESOURCE_ERRORS | {errno.ETOOMANYREFS}
 _TRUNCATED = socket.MSG_TRUNC | socket.MSG_CTRUNC
 
 OnMessage = Callable[["Channel", Message, list[int]], None]
@@ -58,16 +64,19 @@
     def send(self, message: Message, descriptors: Sequence[int] = ()) -> bool:
         """Send a message, now or once the other process has room; False if the connection is over.
 
-        The descriptors are closed here once they are sent.
+        The descriptors are closed here once they are sent; after False they are the caller's.
         """
         if self.closed or len(self._unsent) > MAX_QUEUED_PACKETS:
             return False
         *continued, last = split_into_packets(encode(message))
         self._unsent.extend((packet, []) for packet in continued)
         self._unsent.append((last, list(descriptors)))
-        if not self._write_blocked:
-            self._write()
-        return not self.closed
+        if self._write_blocked or self._write_unsent():
+            return True
+        self._unsent.pop()  # the caller keeps its descriptors; what waited before is told of
+        self.close()
+        self._loop.call_soon(self._on_disconnect, self)
+        return False
 
     def take_unsent_descriptors(self) -> list[int]:
         """Give up all that waits to be sent, and return its descriptors for the caller to close."""
@@ -89,22 +98,30 @@
         self._received_descriptors = []
 
     def _write(self) -> None:
+        if not self.closed and not self._write_unsent():
+            self._disconnect()
+
+    def _write_unsent(self) -> bool:
+        """Write what the other process has room for; return False if the connection is broken."""
         while self._unsent:
             packet, descriptors = self._unsent[0]
             try:
                 self._sock.sendmsg([packet], _as_ancillary_data(descriptors))
             except BlockingIOError:
                 self._write_once_possible()
-                return
-            except OSError:
-                self._disconnect()
-                return
+                return True
+            except OSError as error:
+                if error.errno not in _PASSING_WRITE_ERRORS:
+                    return False
+                self._loop.call_later(WRITE_RETRY_S, self._write)
+                return True
             self._unsent.popleft()
             for descriptor in descriptors:
                 os.close(descriptor)
         if self._write_blocked:
             self._write_blocked = False
             self._loop.remove_writer(self._sock)
+        return True
 
     def _write_once_possible(self) -> None:
         if not self._write_blocked:
--- a/oakbridge/handover/predecessor.py
+++ b/oakbridge/handover/predecessor.py
@@ -34,6 +34,7 @@
     PredecessorStateMachine,
 )
 from oakbridge.handover.unix_socket import UnixListener
+from oakbridge.node.accepting import ACCEPT_RETRY_US, AcceptStatus
 from oakbridge.node.discovery import DiscoverySource
 from oakbridge.node.endpoint_list_json import encode_endpoint_list
 from oakbridge.node.node import Node
@@ -42,6 +43,7 @@
 log = logging.getLogger(__name__)
 
 LOAD_REPORT_INTERVAL_S = 0.02
+US_PER_S = 1e6
 
 
 class Predecessor:
@@ -70,7 +72,7 @@
         except OSError as e:
             log.warning("hot restart unavailable: path=%s error=%s", self._path, e.strerror)
             return
-        self._loop.add_reader(self._listener, self._accept)
+        self._watch_listener()
 
     def relay_command(self, verb: str, server_id: str) -> None:
         """Have an operator's command that came in here carried out in the successor too."""
@@ -88,10 +90,17 @@
 
     def _accept(self) -> None:
         assert self._listener is not None
-        sock = self._listener.accept()
-        if sock is not None:
+        outcome = self._listener.accept()
+        if outcome.connection is not None:
             # The loop keeps it; the first message makes it the channel to the successor.
-            Channel(self._loop, sock, self._on_message, self._on_disconnect)
+            Channel(self._loop, outcome.connection, self._on_message, self._on_disconnect)
+        elif outcome.status is not AcceptStatus.QUEUE_EMPTY:
+            self._loop.remove_reader(self._listener)  # it would fail again at once
+            self._loop.call_later(ACCEPT_RETRY_US / US_PER_S, self._watch_listener)
+
+    def _watch_listener(self) -> None:
+        if self._listener is not None:
+            self._loop.add_reader(self._listener, self._accept)
 
     def _on_message(self, channel: Channel, message: Message, descriptors: list[int]) -> None:
         for descriptor in descriptors:
@@ -149,8 +158,17 @@
             outages=node.outages.saved(),
             draining=node.server.lifecycle.draining,
         )
-        self._send(welcome, node.server.listener.duplicate_descriptors())
-        log.info("successor welcomed")
+        try:
+            descriptors = node.server.listener.duplicate_descriptors()
+        except OSError as error:
+            # Without an answer the successor goes on alone, and listens beside this process.
+            log.warning("no descriptors for a successor: %s", error)
+            return
+        if self._send(welcome, descriptors):
+            log.info("successor welcomed")
+            return
+        for descriptor in descriptors:
+            os.close(descriptor)
 
     def _drain_to_successor(self) -> None:
         node = self._node
--- a/oakbridge/handover/unix_socket.py
+++ b/oakbridge/handover/unix_socket.py
@@ -9,6 +9,9 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from oakbridge.node.accepting import Accepted, AcceptLog, accept
+from oakbridge.node.startup import retry_resource_errors
+
 log = logging.getLogger(__name__)
 
 MAX_ADDRESS_BYTES = 100  # a Unix address holds 107
@@ -33,7 +36,8 @@
             OSError: The name can't be taken.
         """
         self._path = path
-        self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_NONBLOCK)
+        self._failures = AcceptLog()
+        self._sock = _unix_socket()
         try:
             path.unlink(missing_ok=True)
             with _short_address(path) as address:
@@ -49,14 +53,12 @@
         """Return the descriptor, for a loop to watch."""
         return self._sock.fileno()
 
-    def accept(self) -> socket.socket | None:
-        """Return a connection that waits, set not to block, or None."""
-        try:
-            sock, _ = self._sock.accept()
-        except OSError:
-            return None
-        sock.setblocking(False)
-        return sock
+    def accept(self) -> Accepted:
+        """Return a connection that waits, set not to block, or why there is none."""
+        outcome = accept(self._sock, self._failures)
+        if outcome.connection is not None:
+            outcome.connection.setblocking(False)
+        return outcome
 
     def close(self) -> None:
         """Listen no more, and remove the name unless another process has it by now."""
@@ -70,7 +72,7 @@
     """Connect to the process that listens there; None if there is none (any more)."""
     if not path.exists():
         return None
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_NONBLOCK)
+    sock = retry_resource_errors(_unix_socket, "making a socket to the predecessor")
     try:
         with _short_address(path) as address:
             sock.connect(address)
@@ -81,6 +83,10 @@
     return sock
 
 
+def _unix_socket() -> socket.socket:
+    return socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_NONBLOCK)
+
+
 @contextlib.contextmanager
 def _short_address(path: Path) -> Iterator[str]:
     """Give an address that fits for a socket in a folder with a long name."""
--- a/oakbridge/node/http_server.py
+++ b/oakbridge/node/http_server.py
@@ -257,8 +257,12 @@
         if transport.get_write_buffer_size():
             self.loop.call_later(HAND_OVER_RETRY_S, self.hand_over_if_idle, connection)
             return
+        try:
+            descriptor = os.dup(transport.get_extra_info("socket").fileno())
+        except OSError:  # no descriptor is left for a moment: until then it is served here
+            self.loop.call_later(HAND_OVER_RETRY_S, self.hand_over_if_idle, connection)
+            return
         transport.pause_reading()
-        descriptor = os.dup(transport.get_extra_info("socket").fileno())
         if send_descriptor(descriptor):
             connection.abort()  # this process's own descriptor: the connection goes on
         else:
--- a/oakbridge/node/startup.py
+++ b/oakbridge/node/startup.py
@@ -10,8 +10,8 @@
 import logging
 import socket
 import time
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
 
 from oakbridge.node.system_errors import is_resource_error
 
@@ -56,8 +56,13 @@
         await asyncio.sleep(RETRY_S)
 
 
-def new_event_loop() -> asyncio.AbstractEventLoop:
-    """Return a new event loop, for ``asyncio.Runner``.  Raises OSError."""
+def run_in_new_loop(main: Coroutine[Any, Any, T]) -> T:
+    """Run a program in an event loop of its own, as ``asyncio.run`` does.  Raises OSError."""
+    with asyncio.Runner(loop_factory=_new_event_loop) as runner:
+        return runner.run(main)
+
+
+def _new_event_loop() -> asyncio.AbstractEventLoop:
     return retry_resource_errors(_make_event_loop, "making the event loop")
 
 
--- a/oakbridge/peers/service.py
+++ b/oakbridge/peers/service.py
@@ -372,6 +372,7 @@
                 try:
                     await asyncio.to_thread(snapshot.save, path, self._snapshot())
                 except OSError as e:
+                    self._is_snapshot_stale = True  # it is written with the next interval
                     log.warning("the snapshot was not kept: %s: %s", path, e.strerror or e)
             await asyncio.sleep(SAVE_INTERVAL_S)
 
--- a/oakbridge/sites/operator_overrides.py
+++ b/oakbridge/sites/operator_overrides.py
@@ -7,7 +7,8 @@
 from oakbridge.peers.messages import MAX_SITES, MAX_TEXT, SiteOverride
 from oakbridge.sites.errors import SiteNotDrainedError
 
-MAX_CLOCK_SKEW_MS = 3_600_000  # that an order may be ahead of this node's clock
+# That an order may be ahead of this node's clock: each clock may be stepped by an hour.
+MAX_CLOCK_SKEW_MS = 3 * 3_600_000
 
 
 class OperatorOverrides:
--- a/oakbridge/sources/file_source.py
+++ b/oakbridge/sources/file_source.py
@@ -45,6 +45,7 @@
 
 PREPARED_PER_TURN = 200  # servers that are made ready in one turn of the loop
 POLL_INTERVAL_WITHOUT_INOTIFY_S = 0.1
+FAULT_PAUSE_S = 1.0  # before polling begins again after a fault of its own
 _THREADS = 4  # one each to poll, to validate, to save, and to verify the watched directories
 _MAX_BYTES_WITH_LINES = 64 * 1024  # finding lines in longer texts would hold the loop up
 _MAX_BYTES_WITHOUT_PAUSES = 16 * 1024
@@ -128,7 +129,7 @@
         if self._started:
             return
         self._started = True
-        self._spawn(self._poll_forever())
+        self._spawn(self._keep_polling())
         if self.options.use_inotify:
             self._spawn(self._notifier.run())
 
@@ -168,6 +169,12 @@
 
     # ---- polling
 
+    async def _keep_polling(self) -> None:
+        """Poll until cancelled; a fault ends one round, and the next begins a little later."""
+        while True:
+            await self._contain(self._poll_forever())
+            await asyncio.sleep(FAULT_PAUSE_S)
+
     async def _poll_forever(self) -> None:
         while True:
             await self._wait_for_poll()
--- a/oakbridge/workers/acceptor.py
+++ b/oakbridge/workers/acceptor.py
@@ -56,10 +56,24 @@
         else:
             self._stop()
 
-    def accept_waiting(self) -> None:
-        """Accept what waits in the kernel's queues now."""
-        for sock in self._sockets:
-            self._accept_batch(sock)
+    def accept_waiting(self) -> bool:
+        """Accept what waits in the kernel's queues; return whether all of it was.
+
+        False: accept fails for a moment, or no worker has capacity.
+        """
+        emptied = [self._accept_queue(sock) for sock in self._sockets]
+        return all(emptied)
+
+    def _accept_queue(self, listening: socket.socket) -> bool:
+        while self._has_capacity():
+            outcome = accept(listening, self._failures)
+            if outcome.connection is not None:
+                self._dispatch(outcome.connection)
+            elif outcome.status is AcceptStatus.QUEUE_EMPTY:
+                return True
+            elif outcome.status is AcceptStatus.UNAVAILABLE:
+                return False
+        return False
 
     def close(self) -> None:
         """Close the sockets; what still waits in their queues is reset."""
--- a/oakbridge/workers/control_handler.py
+++ b/oakbridge/workers/control_handler.py
@@ -39,7 +39,7 @@
     ) -> None:
         """``socket_path``: of the node; the workers' own are beside it.
 
-        ``started_at``: the supervisor's start, in seconds as ``time.time`` tells them.
+        ``started_at``: the supervisor's start, in seconds as ``time.monotonic`` tells them.
         """
         self._name = name
         self._addresses = addresses
@@ -88,7 +88,7 @@
             "name": self._name,
             "pid": os.getpid(),
             "version": __version__,
-            "uptime_s": round(time.time() - self._started_at, 1),
+            "uptime_s": round(time.monotonic() - self._started_at, 1),
             "listen": [f"{host}:{port}" for host, port in self._addresses],
             "handed": self._balancer.connection_counts(),
             "crashes": {worker: process.total_crashes for worker, process in processes.items()},
--- a/oakbridge/workers/supervisor.py
+++ b/oakbridge/workers/supervisor.py
@@ -47,6 +47,8 @@
 
 # Connections still come for a while after a stop; workers wait 0.1 s longer for them.
 ACCEPT_AFTER_STOP_S = 0.4
+ACCEPT_LAST_RETRY_S = 0.02  # where accept fails at that moment,
+ACCEPT_LAST_PATIENCE_S = 0.08  # for so long: workers wait no longer
 
 
 class WorkerSupervisor:
@@ -63,7 +65,7 @@
         """Listen.  Raises OSError with the address in its text."""
         self.name = name
         self._loop = asyncio.get_running_loop()
-        self._started_at = time.time()
+        self._started_at = time.monotonic()
         self._command_line = command_line
         self._control_socket = control_socket
         self._pool = WorkerPool(worker_count)
@@ -102,7 +104,8 @@
         if self._pool.is_shutting_down:
             return
         log.info("%s ends", self.name)
-        self._loop.call_later(ACCEPT_AFTER_STOP_S, self._accept_last)
+        give_up_at = self._loop.time() + ACCEPT_AFTER_STOP_S + ACCEPT_LAST_PATIENCE_S
+        self._loop.call_later(ACCEPT_AFTER_STOP_S, self._accept_last, give_up_at)
         self._execute(self._pool.shut_down(_now_us()))
 
     def reload(self) -> None:
@@ -130,9 +133,12 @@
         )
         return ControlServer(self._control_socket, handler.handle)
 
-    def _accept_last(self) -> None:
-        self._acceptor.accept_waiting()
-        self._acceptor.close()
+    def _accept_last(self, give_up_at: float) -> None:
+        """Accept what waits, and close; again in a moment if that fails, up to a time."""
+        if self._acceptor.accept_waiting() or self._loop.time() >= give_up_at:
+            self._acceptor.close()
+        else:
+            self._loop.call_later(ACCEPT_LAST_RETRY_S, self._accept_last, give_up_at)
 
     def _close(self) -> None:
         """Close what is open; after a graceful shutdown nothing but the listening sockets is."""
--- a/oakbridge/workers/worker_process.py
+++ b/oakbridge/workers/worker_process.py
@@ -21,6 +21,12 @@
 
 log = logging.getLogger(__name__)
 
+# The signals that a worker sends itself where one of these commands arrives.
+_SIGNALS = {
+    SupervisorCommand.SHUT_DOWN: signal.SIGTERM,
+    SupervisorCommand.RELOAD: signal.SIGHUP,
+}
+
 # Returns the command line of a worker, by its number and the descriptor of its end of the channel.
 CommandLine = Callable[[int, int], Sequence[str]]
 
@@ -78,7 +84,19 @@
             socket.send_fds(self.channel, [encode_command(command)], list(descriptors))
         except OSError as e:  # it is frozen and its queue is full, or it has just died
             log.warning("worker %d takes nothing: %s", self.worker, e)
+            return self._signal_instead(command)
+        return True
+
+    def _signal_instead(self, command: SupervisorCommand) -> bool:
+        """Have a command take effect by a signal, if it can; return whether it does.
+
+        A signal waits for a process that is frozen, as a command that was not sent would not.
+        """
+        number = _SIGNALS.get(command)
+        if number is None:
             return False
+        with suppress(ProcessLookupError):
+            self._process.send_signal(number)
         return True
 
     def send_connection(self, connection: socket.socket) -> bool:
