Bound what a stepped wall clock does to the age of servers in slow start

Cause: a server's start is told by discovery's wall clock and compared with the node's, which begins at this machine's. Stepped by an hour, a server that has just started counts as warm and gets more than its budget, or as cold for an hour.

Change: node/start_times.py assigns each start once: never in the future (ages of a first list keep apart), and a start that is news and looks older than the news can be late counts as of now. Lists tell how old the one before was. Of a first list with this machine's clock ahead nothing is known: an open risk.

--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -6,6 +6,7 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from oakbridge.node.address import Address
 from oakbridge.node.discovery_http import poll
@@ -64,6 +65,7 @@
         self.index = BEFORE_ALL_VERSIONS
         # Whether the current watch has had a response, so that the list is up to date.
         self._watch_established = False
+        self._has_list = False  # whether any list has come
         self._fresh_at = 0.0  # when the list was last known to be up to date, in the loop's time
         self._watch_task: asyncio.Task[None] | None = None
         self._fetch_tasks: set[asyncio.Task[None]] = set()
@@ -210,6 +212,8 @@
             self.index = BEFORE_ALL_VERSIONS
             raise EndpointListError(f"index: expected changes since {before}, got {new.index}")
         self.index = new.index
+        staleness = int(US_PER_S * (self._now() - self._fresh_at)) if self._has_list else None
+        self._has_list = True
         self._fresh_at = self._now()
         if first or new.complete or new.endpoints:
-            self._on_list(new)
+            self._on_list(replace(new, staleness=staleness))
--- a/oakbridge/node/endpoint_list.py
+++ b/oakbridge/node/endpoint_list.py
@@ -27,6 +27,9 @@
     index: int
     complete: bool
     endpoints: list[ListedEndpoint]
+    # How old the list before was when this one came, in microseconds: what is new here happened
+    # since.  None: what is new here may be old.
+    staleness: int | None = None
 
     def apply_to(self, known: dict[str, ListedEndpoint]) -> None:
         """Bring what is known, by name, up to this version."""
--- a/oakbridge/node/endpoint_updates.py
+++ b/oakbridge/node/endpoint_updates.py
@@ -14,6 +14,7 @@
 from oakbridge.node.dispatcher import Dispatcher, Front
 from oakbridge.node.endpoint_list import EndpointList, ListedEndpoint, split_into_batches
 from oakbridge.node.outages import Outages
+from oakbridge.node.start_times import StartTimes
 from oakbridge.policy.events import EndpointListReceived, EndpointsAnnounced
 
 log = logging.getLogger(__name__)
@@ -42,6 +43,7 @@
             str, ListedEndpoint
         ] = {}  # all servers, draining ones among them, as they are listed
         self._batches: deque[EndpointList] = deque()
+        self._start_times = StartTimes()
 
     # ---- what is known
 
@@ -64,6 +66,8 @@
         """Apply a list from now on; a long one in batches, one in each turn of the loop."""
         self._apply_all_batches()  # a newer list builds on all of the one before
         self._log_list(new)
+        starts = self._start_times.adjust(new.endpoints, self._clock.now(), new.staleness)
+        new = replace(new, endpoints=starts)
         self._batches.extend([new] if saved else split_into_batches(new, self._listed))
         self._apply_next_batch(saved=saved)
 
