--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -14,6 +14,7 @@
 from oakbridge.node.endpoint_source import EndpointListener
 from oakbridge.node.errors import EndpointListError
 from oakbridge.node.observer import NodeObserver
+from oakbridge.node.system_errors import is_path_error
 from oakbridge.policy.endpoint_reconciler import AT_ONCE_US
 
 log = logging.getLogger(__name__)
@@ -38,6 +39,8 @@
 RESPONSE_TIMEOUT_S = 3.0
 AGENT_RESPONSE_TIMEOUT_S = 1.0  # an agent on the same machine responds at once
 AGENT_RETRY_S = 0.1  # after a request to it failed
+PATH_RETRY_S = 0.05  # after the way to discovery broke,
+MAX_PATH_RETRIES = 3  # and so often in a row
 # A version before all others.  A watch from here is answered with the complete list at once and then
 # goes on as a watch; a poll for the list and a watch after it would be two requests in the queue.
 BEFORE_ALL_VERSIONS = -1
@@ -136,14 +139,18 @@
 
         - An established watch times out: discovery may only have lost the connection, so the watch
           is started anew at once, and nothing is reported yet.
+        - The way to discovery breaks (a path error): a response may be lost that counts as told, so
+          the call is made again at once, a few times.
         - Anything else, also a time-out of the first response: the agent is tried again after a
           pause; with discovery, the watch ends and the listener is called, which decides when to poll.
         """
         self._watch_established = False
+        path_errors = 0  # in a row
         while True:
             started_at = self._now()
             try:
                 await self._watch_once()
+                path_errors = 0
             except (
                 Exception
             ) as e:  # of any kind: a watch that ended unnoticed would hide every drain
@@ -152,6 +159,11 @@
                     self._watch_established = False
                     continue
                 self._log_failure(e)
+                if is_path_error(e) and path_errors < MAX_PATH_RETRIES:
+                    path_errors += 1
+                    self._watch_established = False
+                    await asyncio.sleep(PATH_RETRY_S)
+                    continue
                 if not self._pushed:
                     self._watch_task = None
                     self._report_failure(self._now() - started_at)
--- a/oakbridge/node/system_errors.py
+++ b/oakbridge/node/system_errors.py
@@ -34,6 +34,15 @@
 )
 
 
+# The way to the other end broke; that end may be as it was, and not know.
+PATH_ERRORS = frozenset({errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ENETDOWN})
+
+
+def is_path_error(error: Exception) -> bool:
+    """Return whether a connection broke on its way, rather than by its other end."""
+    return isinstance(error, OSError) and error.errno in PATH_ERRORS
+
+
 def is_resource_error(error: OSError) -> bool:
     """Return whether the process or the system is short of something for a moment."""
     return error.errno in RESOURCE_ERRORS
