--- a/tests/faults/test_agent_faults.py
+++ b/tests/faults/test_agent_faults.py
@@ -2,8 +2,10 @@
 
 import errno
 import json
+import random
 import subprocess
 import threading
+import time
 
 import pytest
 from fault_control import DISK_FAULTS, FaultControl
@@ -17,6 +19,30 @@
 DISK_ERRORS = (errno.ENOSPC, errno.EIO)
 
 
+class KilledAgents:
+    """Agents that are killed at random times, and start again at once."""
+
+    def __init__(self, fleet: "FaultyFleet", seed: int) -> None:
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self.kills = 0
+
+    def __enter__(self) -> "KilledAgents":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stop.wait(self._random.uniform(2.0, 5.0)):
+            self._fleet.kill_and_restart(self._random.choice(list(self._fleet.agents)))
+            self.kills += 1
+
+
 class FailingDisks:
     """Disks that fail in one part of each period, each at a time of its own."""
 
@@ -106,6 +132,12 @@
         assert done.stdout, done.stderr
         return {row["instance"]: row["fate"] for row in json.loads(done.stdout)["instances"]}
 
+    def kill_and_restart(self, agent: str) -> None:
+        """Kill an agent at once, and start it again."""
+        self.agents[agent].kill()
+        self.agents[agent].wait()
+        self.start_agent(agent)
+
     def agent_logs(self) -> str:
         """Return what all agents have logged."""
         return "".join((self.folder / f"{agent}.log").read_text() for agent in self.agents)
@@ -129,3 +161,28 @@
     assert outcomes == dict.fromkeys(fleet.instance_ports, "took it")
     assert set(fleet.running_configurations().values()) == {"1s"}
     assert "Traceback" not in fleet.agent_logs()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_what_is_told_is_what_runs_though_agents_are_killed_and_disks_fail(fleet, seed):
+    """A kill leaves a write half done; a step that was told as applied or refused stays so."""
+    fleet.wait_until_all_answer()
+    assert set(fleet.apply("1s").values()) == {"took it"}
+    with FailingDisks(list(fleet.disks.values())), KilledAgents(fleet, seed) as killed:
+        outcomes = fleet.apply("2s")
+        assert killed.kills > 0
+    fleet.wait_until_all_answer()
+    expected = {"took it": {"2s"}, "did not": {"1s"}, "undone": {"1s"}, "not reached": {"1s"}}
+    deadline = time.monotonic() + LIMIT
+    while time.monotonic() < deadline:
+        running = fleet.running_configurations()
+        wrong = {
+            name: (outcome, running[name])
+            for name, outcome in outcomes.items()
+            if running[name] not in expected.get(outcome, {"1s", "2s"})
+        }
+        if not wrong:
+            break
+        time.sleep(0.2)
+    assert not wrong
+    assert "Traceback" not in fleet.agent_logs()
