Take ENOBUFS and ENOMEM of reads and writes as passing, on both sides of the node

Cause: an event loop's transport takes any failed recv or send for the end of the connection, and drops the response.

The soak injects them on all connections.

--- a/benchmarks/faults/fault_control.py
+++ b/benchmarks/faults/fault_control.py
@@ -35,6 +35,8 @@
     DISK_SYNC = 9
     DISK_METADATA = 10
     LISTEN = 11
+    SEND_PASSING = 12  # on all connections: errors that are no break
+    RECEIVE_PASSING = 13
 
 
 DISK_FAULTS = (Fault.DISK_WRITE, Fault.DISK_SYNC, Fault.DISK_METADATA)
--- a/benchmarks/faults/fault_shim.c
+++ b/benchmarks/faults/fault_shim.c
@@ -27,7 +27,7 @@
 
 enum kind {
     ACCEPT, SOCKET, CONNECT, SEND, RECEIVE, WAIT, SHORT_SEND, SHORT_RECEIVE,
-    DISK_WRITE, DISK_SYNC, DISK_METADATA, LISTEN, KINDS = 16
+    DISK_WRITE, DISK_SYNC, DISK_METADATA, LISTEN, SEND_PASSING, RECEIVE_PASSING, KINDS = 16
 };
 
 struct fault {
@@ -193,7 +193,7 @@
 ssize_t send(int fd, const void *data, size_t length, int flags)
 {
     if (is_inet(fd)) {
-        if (!is_listen_port(fd) && fails(SEND))
+        if (fails(SEND_PASSING) || (!is_listen_port(fd) && fails(SEND)))
             return -1;
         length = shortened(SHORT_SEND, length);
     }
@@ -203,7 +203,8 @@
 ssize_t recv(int fd, void *data, size_t length, int flags)
 {
     if (is_inet(fd)) {
-        if (!(flags & MSG_PEEK) && !is_listen_port(fd) && fails(RECEIVE))
+        if (fails(RECEIVE_PASSING)
+            || (!(flags & MSG_PEEK) && !is_listen_port(fd) && fails(RECEIVE)))
             return -1;
         length = shortened(SHORT_RECEIVE, length);
     }
--- a/benchmarks/faults/soak.py
+++ b/benchmarks/faults/soak.py
@@ -11,6 +11,7 @@
 import asyncio
 import errno
 import json
+import os
 import random
 import signal
 import subprocess
@@ -19,6 +20,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -45,6 +47,8 @@
     (Fault.CONNECT, (errno.EINTR, errno.ETIMEDOUT, errno.EHOSTUNREACH), 50),
     (Fault.SEND, (errno.ETIMEDOUT, errno.EHOSTUNREACH), 5),
     (Fault.RECEIVE, (errno.ETIMEDOUT, errno.EHOSTUNREACH), 5),
+    (Fault.SEND_PASSING, (errno.ENOBUFS, errno.ENOMEM), 30),
+    (Fault.RECEIVE_PASSING, (errno.ENOBUFS, errno.ENOMEM), 30),
     (Fault.WAIT, (errno.EINTR,), 50),
     (Fault.SHORT_SEND, (0,), 70),
     (Fault.SHORT_RECEIVE, (0,), 70),
@@ -342,17 +346,18 @@
 
     @staticmethod
     def _signal(node: SoakNode, number: signal.Signals) -> None:
+        """Send a signal; not by asyncio's process, which may take its exit code away unseen."""
         process = node.process.process
         assert process is not None
         if process.returncode is None:
-            process.send_signal(number)
+            with suppress(ProcessLookupError):
+                os.kill(process.pid, number)
 
     async def _kill(self, node: SoakNode) -> None:
         process = node.process.process
         assert process is not None
         node.is_up = False
-        if process.returncode is None:
-            process.kill()
+        self._signal(node, signal.SIGKILL)
         code = await process.wait()
         # The interpreter gives the signals back to the system before the process has ended.
         usual = (0, -signal.SIGTERM, -signal.SIGHUP, -signal.SIGKILL)
--- a/oakbridge/node/server_connection.py
+++ b/oakbridge/node/server_connection.py
@@ -19,7 +19,7 @@
 from oakbridge.node.clock import Timer
 from oakbridge.node.request_body import StreamedBody
 from oakbridge.node.response_parser import ResponseError, ResponseParser
-from oakbridge.node.system_errors import is_local_connect_error
+from oakbridge.node.system_errors import is_local_connect_error, is_resource_error
 from oakbridge.policy.events import AttemptResult
 
 if TYPE_CHECKING:
@@ -189,7 +189,10 @@
         except BlockingIOError:
             self._await_writable(self._write)
             return
-        except OSError:
+        except OSError as error:
+            if is_resource_error(error):
+                self._await_writable(self._write)
+                return
             # In the next round, as in connect(); what arrived before is no response to half a
             # request.
             self._pool.loop.call_soon(self._fail)
@@ -216,8 +219,9 @@
             data = self._sock.recv(READ_BYTES)
         except BlockingIOError:
             return
-        except OSError:
-            self._fail()
+        except OSError as error:
+            if not is_resource_error(error):  # else the loop finds it readable again
+                self._fail()
             return
         if not data and self.attempt is not None and self._response.finish_at_close():
             self._on_response_complete()
--- a/oakbridge/node/socket_state.py
+++ b/oakbridge/node/socket_state.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import fcntl
 import socket
 import struct
 import termios
 from contextlib import suppress
 
+from oakbridge.node.system_errors import is_resource_error
+
 _TCP_ESTABLISHED = b"\x01"  # the state in TCP_INFO while neither side has ended
 _LAST_DATA_RECEIVED = struct.Struct("52xI")  # tcpi_last_data_recv in TCP_INFO: milliseconds ago
 _US_PER_MS = 1000
@@ -19,8 +22,8 @@
     """Return whether bytes have arrived that the event loop has not read yet."""
     try:
         return bool(sock.recv(1, socket.MSG_PEEK))
-    except OSError:  # nothing has arrived, or the connection broke
-        return False
+    except OSError as error:  # nothing has arrived, or the connection broke
+        return is_resource_error(error) and error.errno != errno.EAGAIN
 
 
 def peer_has_closed(sock: socket.socket) -> bool | None:
