Ask discovery again at once where a call broke at this end

Change: errors of resources count as the way's, and a call is made again after 50 ms, ten times in a row.

--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -40,7 +40,7 @@
 AGENT_RESPONSE_TIMEOUT_S = 1.0  # an agent on the same machine responds at once
 AGENT_RETRY_S = 0.1  # after a request to it failed
 PATH_RETRY_S = 0.05  # after the way to discovery broke,
-MAX_PATH_RETRIES = 3  # and so often in a row
+MAX_PATH_RETRIES = 10  # and so often in a row
 # A version before all others.  A watch from here is answered with the complete list at once and then
 # goes on as a watch; a poll for the list and a watch after it would be two requests in the queue.
 BEFORE_ALL_VERSIONS = -1
--- a/oakbridge/node/system_errors.py
+++ b/oakbridge/node/system_errors.py
@@ -34,12 +34,17 @@
 )
 
 
-# The way to the other end broke; that end may be as it was, and not know.
-PATH_ERRORS = frozenset({errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ENETDOWN})
+# The way to the other end broke, or this end of it; the other may be as it was, and not know.
+PATH_ERRORS = RESOURCE_ERRORS | {
+    errno.ETIMEDOUT,
+    errno.EHOSTUNREACH,
+    errno.ENETUNREACH,
+    errno.ENETDOWN,
+}
 
 
 def is_path_error(error: Exception) -> bool:
-    """Return whether a connection broke on its way, rather than by its other end."""
+    """Return whether a connection broke on its way or at this end, rather than at its other."""
     return isinstance(error, OSError) and error.errno in PATH_ERRORS
 
 
