Keep a node whose configuration can't be read for a moment, and find one that runs

Change: only a missing file says something; looking for a node is tried again while resources are short.

--- a/oakbridge/agent/local_host.py
+++ b/oakbridge/agent/local_host.py
@@ -14,6 +14,7 @@
 from oakbridge.agent.host import ExitCallback, NodeLaunch
 from oakbridge.agent.node_process import LocalProcess, listener_pid, start_node
 from oakbridge.control import protocol
+from oakbridge.node.startup import retry_resource_errors
 
 CHECK_TIMEOUT_S = 30.0
 LOG_TAIL_BYTES = 4096
@@ -26,12 +27,14 @@
 
     def find_node(self, control: Path, on_exit: ExitCallback) -> LocalProcess | None:
         """Return the node that listens on this control socket already, if one does."""
-        pid = listener_pid(control)
+        pid = retry_resource_errors(lambda: listener_pid(control), "looking for a node")
         if pid is None:
             return None
         try:
-            return LocalProcess(pid, on_exit)
-        except OSError:
+            return retry_resource_errors(
+                lambda: LocalProcess(pid, on_exit), "watching a node that runs"
+            )
+        except ProcessLookupError:
             return None
 
     def start_node(self, launch: NodeLaunch, on_exit: ExitCallback) -> LocalProcess:
--- a/oakbridge/agent/managed_instance.py
+++ b/oakbridge/agent/managed_instance.py
@@ -224,7 +224,12 @@
         """Report a drained instance ready once its node has ended."""
         if self._executor.is_blocked:
             return  # until the node has been told to run what it should
-        if self.node.state is sup.State.STOPPED and self.is_drained:
+        try:
+            is_ready = self.node.state is sup.State.STOPPED and self.is_drained
+        except OSError:  # the disk fails
+            self._timers.schedule(monotonic_us() + DISK_RETRY_US, self._report_drained)
+            return
+        if is_ready:
             self._execute(self.machine.on_ready(monotonic_us()))
 
     async def _poll(self) -> None:
@@ -269,9 +274,15 @@
         return self.machine.state in (ChangeState.SETTLED, ChangeState.WATCHING)
 
     def _runs_current_config(self, status: NodeStatus) -> bool:
-        """Whether the node was started with what the link shows, by its own answer."""
+        """Whether the node was started with what the link shows, by its own answer.
+
+        A file that can't be read for a moment says nothing against the node.
+        """
         try:
             config = self._config_file.read_bytes()
-        except OSError:
+        except FileNotFoundError:
             return False
+        except OSError as e:
+            log.warning("%s: its configuration can't be read: %s", self.name, e)
+            return True
         return status.config_digest == hashlib.sha256(config).hexdigest()
--- a/oakbridge/agent/node_process.py
+++ b/oakbridge/agent/node_process.py
@@ -25,7 +25,10 @@
 
 
 def listener_pid(path: Path) -> int | None:
-    """Return the process that listens on a control socket, as the kernel has it, or None."""
+    """Return the process that listens on a control socket, as the kernel has it, or None.
+
+    Raises OSError if no socket can be made to ask.
+    """
     with socket.socket(socket.AF_UNIX) as probe:
         probe.settimeout(CONNECT_TIMEOUT_S)
         try:
