--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -9,10 +9,10 @@
 from oakbridge.node.clock import Clock
 from oakbridge.node.connection_pool import ConnectionPool
 from oakbridge.node.endpoint_updates import EndpointUpdates
+from oakbridge.node.forwarded_attempt import ForwardedAttempt, ForwardedResponse
 from oakbridge.node.http_framing import Headers
 from oakbridge.node.invariants import Invariant, InvariantCounters
 from oakbridge.node.load_report import parse_load_report
-from oakbridge.node.request_writer import encode_request
 from oakbridge.node.server_connection import ServerConnection
 from oakbridge.policy.actions import CancelAttempt, FailRequest, RejectRequest, SendAttempt
 from oakbridge.policy.events import (
@@ -35,66 +35,6 @@
 MAX_COST_DIGITS = 15
 
 
-class ForwardedAttempt:
-    """One attempt for one request: what the pool calls as it goes."""
-
-    __slots__ = ("_forwarder", "number", "request", "sent_at", "server")
-
-    def __init__(
-        self,
-        forwarder: RequestForwarder,
-        request: ClientRequest,
-        number: int,
-        server: str,
-        sent_at: int,
-    ) -> None:
-        self._forwarder = forwarder
-        self.request = request
-        self.number = number
-        self.server = server
-        self.sent_at = sent_at
-
-    def render(self, timeout_us: int) -> bytes:
-        """Return the bytes to write, with the time that is left: never more than the client has."""
-        time_left = self._forwarder.client_time_left(self.request)
-        return encode_request(self.request, max(1, min(timeout_us, time_left)))
-
-    def is_wanted(self) -> bool:
-        """Return whether the client still waits for the response."""
-        return not (self.request.answered or self.request.client.client_has_closed())
-
-    def on_request_sent(self) -> None:
-        """Note that the last byte of a streamed body is written."""
-        self._forwarder.on_body_sent(self)
-
-    def on_response_start(
-        self, outcome: AttemptOutcome, length: int | None, connection: ServerConnection
-    ) -> ResponseSink | None:
-        """Start to forward a long response; return where its body goes."""
-        return self._forwarder.on_response_start(self, outcome, length, connection)
-
-    def on_end(self, outcome: AttemptOutcome) -> None:
-        """Forward a short response, or have the balancer decide what follows."""
-        self._forwarder.on_attempt_end(self, outcome)
-
-
-class ForwardedResponse:
-    """A response on its way, as the client's connection sees it: the source of its body."""
-
-    def __init__(
-        self, pool: ConnectionPool, request: ClientRequest, connection: ServerConnection
-    ) -> None:
-        self._pool = pool
-        self._request = request
-        self.pause = connection.pause
-        self.resume = connection.resume
-
-    def cancel(self) -> None:
-        """Cancel the attempt at once: the client is gone."""
-        if self._request.attempt is not None:
-            self._pool.cancel(self._request.attempt)
-
-
 class RequestForwarder:
     """All requests that came in over HTTP and are not ended yet.  Times are in microseconds."""
 
--- a/tests/handover/test_channel.py
+++ b/tests/handover/test_channel.py
@@ -128,3 +128,19 @@
             os.close(descriptor)
 
     run(scenario())
+
+
+def test_descriptor_that_could_not_be_sent_is_the_senders_alone():
+    """Guards against a client's connection that two parts of one process own."""
+
+    async def scenario():
+        async with Ends() as ends:
+            ends.receiving_socket.shutdown(socket.SHUT_RDWR)
+            descriptor = os.open(os.devnull, os.O_RDONLY)
+            assert not ends.sender.send(ClientConnection(), [descriptor])
+            assert is_open(descriptor)
+            assert ends.sender.take_unsent_descriptors() == []
+            await until(lambda: ends.sender in ends.disconnects)
+            os.close(descriptor)
+
+    run(scenario())
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -1,12 +1,16 @@
 """A whole node over loopback sockets: what callers get, what servers see."""
 
 import asyncio
+import errno
+import os
 
 import pytest
-from peers import Peer, Running, endpoint, listing, reply, run, soon
+from peers import Peer, Running, endpoint, listing, reply, run, soon, until
 
+from oakbridge.node import run as run_module
 from oakbridge.node.client_request import parse_timeout
 from oakbridge.node.connection_pool import MIN_IDLE_US
+from oakbridge.node.errors import ConfigError, ConfigUnreadableError
 
 
 def test_request_and_answer_go_through_unchanged():
@@ -262,3 +266,51 @@
             await soon(shutting_down)
 
     run(scenario())
+
+
+def test_configuration_that_can_not_be_read_for_a_moment_is_read_again(monkeypatch):
+    """SIGHUP is not forgotten; a file that is broken is given up."""
+    monkeypatch.setattr(run_module, "RELOAD_RETRY_S", 0.01)
+
+    async def scenario():
+        hangup, calls = asyncio.Event(), []
+
+        def reload(node):
+            calls.append(node)
+            if len(calls) < 3:
+                raise ConfigUnreadableError("NODE_CONFIG: Input/output error")
+            raise ConfigError("NODE_CONFIG: not JSON")
+
+        task = asyncio.create_task(run_module._reload_on_hangup("node", hangup, reload))
+        hangup.set()
+        await until(lambda: len(calls) == 3)
+        await asyncio.sleep(0.05)
+        assert len(calls) == 3
+        task.cancel()
+
+    run(scenario())
+
+
+def test_connection_that_can_not_be_handed_over_for_want_of_a_descriptor_is_served(monkeypatch):
+    """Guards against one that is read no more, neither here nor there."""
+
+    async def scenario():
+        async with Peer(lambda _: reply(200, b"car")) as peer, Running(peer) as node:
+            caller = await node.caller()
+            caller.send()
+            assert (await caller.answer())[0] == 200
+            handed, dup = [], os.dup
+
+            def no_descriptor(_):
+                raise OSError(errno.EMFILE, "Too many open files")
+
+            monkeypatch.setattr(os, "dup", no_descriptor)
+            node.node.server.hand_over(lambda descriptor: handed.append(descriptor) or True)
+            node.node.server.hand_over_idle_connections()
+            caller.send()
+            assert (await caller.answer())[2] == b"car"
+            monkeypatch.setattr(os, "dup", dup)
+            await until(lambda: handed)
+            os.close(handed[0])
+
+    run(scenario())
--- a/tests/rollout/test_simulated_fleet.py
+++ b/tests/rollout/test_simulated_fleet.py
@@ -18,7 +18,7 @@
     Undrain,
 )
 from oakbridge.rollout.coordinator import RolloutOptions
-from oakbridge.rollout.journal import Journal
+from oakbridge.rollout.journal import Journal, JournalUnavailableError
 from oakbridge.rollout.plan import PlanError, WaveOptions
 from oakbridge.rollout.rebuild import rebuild
 from oakbridge.rollout.record import Phase
@@ -312,3 +312,33 @@
             assert QUICK.watch_s == 0.05
 
     run(test())
+
+
+class FailingJournal(Journal):
+    """A journal whose disk fails at every second write."""
+
+    def __init__(self, folder) -> None:
+        super().__init__(folder)
+        self.failed, self._writes = 0, 0
+
+    def update(self, rollout, record) -> None:
+        self._writes += 1
+        if self._writes % 2:
+            self.failed += 1
+            raise JournalUnavailableError("disk I/O error", "journal.db")
+        super().update(rollout, record)
+
+
+def test_rollout_goes_on_though_its_journal_fails_for_moments(tmp_path):
+    """Nothing is sent before the record is written, and what waits is sent then."""
+
+    async def test():
+        async with SimulatedFleet(tmp_path, 3) as fleet:
+            await fleet.roll_out_first()
+            journal = FailingJournal(fleet.folder)
+            done = await fleet.roll_out(ReplaceFiles(files_with_aim("2s")), journal=journal)
+            assert done.machine.is_complete()
+            assert journal.failed > 2
+            assert Journal(fleet.folder).entry(done.rollout).record == done.machine.record
+
+    run(test())
