--- a/oakbridge/node/discovery_http.py
+++ b/oakbridge/node/discovery_http.py
@@ -67,13 +67,16 @@
 
     Discovery has seen nothing of it, so it is no reason to stay away for a while.
     """
+    logged = False
     while True:
         try:
             return await asyncio.open_connection(*address)
         except OSError as error:
             if not is_local_connect_error(error.errno):
                 raise
-            log.warning("no connection to discovery for a moment: %s", error)
+            if not logged:
+                log.warning("no connection to discovery for a moment: %s", error)
+                logged = True
         await asyncio.sleep(CONNECT_RETRY_S)
 
 
