Play hand-overs in the soak; make the event loop's own sockets with patience

A dial to discovery was tried again later than one to a server.

Change: the loop makes its sockets itself, again while they lack; discovery is dialled every 20 ms; four in ten nodes of the soak have an operators' address, and processes that take over beside them. Operators' ports were shared at first, which ended successors (EADDRINUSE, a fault of the rig).

--- a/benchmarks/faults/node_process.py
+++ b/benchmarks/faults/node_process.py
@@ -43,15 +43,22 @@
         settings: dict | None = None,
         discovery: int = 9,
         sockets: int = 256,
+        operated: bool = False,
     ) -> None:
-        """Write the configuration; nothing is started yet."""
+        """Write the configuration; nothing is started yet.
+
+        ``operated``: with an address for operators, so that a second process takes over from the
+        first.
+        """
+        self.is_operated = operated
+        self._folder = folder
         self.faults = FaultControl(folder / f"{name}.faults", seed=seed)
         self.port = free_ports(1)[0]
         self.log_path = folder / f"{name}.log"
         self.process: asyncio.subprocess.Process | None = None
         servers = [endpoint(f"s-{number}", port) for number, port in enumerate(server_ports)]
         self._config = folder / f"{name}.json"
-        self.write_config(
+        self._write_config(
             {
                 "name": name,
                 "listen": f"127.0.0.1:{self.port}",
@@ -63,15 +70,16 @@
             }
         )
 
-    def write_config(self, config: dict) -> None:
-        """Replace the file that the node reads at its start and at SIGHUP."""
-        self.config = config
+    def _write_config(self, config: dict) -> None:
         self._config.write_text(json.dumps(config))
 
     async def start(self, *, wait: bool = True) -> None:
         """Start the process; wait until it is ready."""
         environment = os.environ | self.faults.environment
         environment |= {"NODE_CONFIG": str(self._config), "FAULT_LISTEN_PORT": str(self.port)}
+        if self.is_operated:  # each process at an address of its own
+            environment["NODE_CONTROL"] = f"127.0.0.1:{free_ports(1)[0]}"
+        environment["TMPDIR"] = str(self._folder)  # where the processes of a node meet
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *COMMAND, cwd=ROOT, env=environment, stderr=log
--- a/benchmarks/faults/soak.py
+++ b/benchmarks/faults/soak.py
@@ -279,6 +279,7 @@
                 seed=self.seed * 100 + number + 1,
                 settings=settings,
                 discovery=discovery.port,
+                operated=draw.random() < 0.4,
             )
             self.nodes.append(SoakNode(number, process))
         await asyncio.gather(*(node.process.start() for node in self.nodes))
@@ -327,6 +328,9 @@
         """End a node by signals in series, kill it at the earliest, and start it again."""
         await asyncio.sleep(draw.uniform(0.5, 4.0))
         while self._left_s() > KILL_AFTER_S + 1.0:
+            if node.process.is_operated and draw.random() < 0.7:
+                await self._hand_over(node, draw)
+                continue
             if draw.random() < 0.3:
                 self._signal(node, signal.SIGHUP)
                 await asyncio.sleep(draw.uniform(0.0, 0.2))
@@ -344,11 +348,30 @@
             node.is_up, node.ending_since = True, None
             await asyncio.sleep(draw.uniform(0.5, 4.0))
 
+    async def _hand_over(self, node: SoakNode, draw: random.Random) -> None:
+        """Start a process beside the one that runs, which it takes over, and end that one."""
+        previous = node.process.process
+        assert previous is not None
+        self._discoveries[node.number].on_node_started()
+        await node.process.start(wait=False)
+        await asyncio.sleep(draw.uniform(0.6, 1.5))  # sockets may be short at its start
+        terminated_at = time.monotonic()
+        for number in (signal.SIGTERM, *draw.choices((signal.SIGHUP, signal.SIGTERM), k=1)):
+            self._signal_process(previous, number)
+            await asyncio.sleep(draw.uniform(0.01, 0.3))
+        await asyncio.sleep(terminated_at + KILL_AFTER_S - time.monotonic())
+        await self._end_process(node, previous)
+        await asyncio.sleep(draw.uniform(0.2, 2.0))
+
     @staticmethod
     def _signal(node: SoakNode, number: signal.Signals) -> None:
         """Send a signal; not by asyncio's process, which may take its exit code away unseen."""
         process = node.process.process
         assert process is not None
+        Soak._signal_process(process, number)
+
+    @staticmethod
+    def _signal_process(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
         if process.returncode is None:
             with suppress(ProcessLookupError):
                 os.kill(process.pid, number)
@@ -357,7 +380,10 @@
         process = node.process.process
         assert process is not None
         node.is_up = False
-        self._signal(node, signal.SIGKILL)
+        await self._end_process(node, process)
+
+    async def _end_process(self, node: SoakNode, process: asyncio.subprocess.Process) -> None:
+        self._signal_process(process, signal.SIGKILL)
         code = await process.wait()
         # The interpreter gives the signals back to the system before the process has ended.
         usual = (0, -signal.SIGTERM, -signal.SIGHUP, -signal.SIGKILL)
--- a/oakbridge/node/discovery_http.py
+++ b/oakbridge/node/discovery_http.py
@@ -19,7 +19,7 @@
 
 MAX_LIST_BYTES = 4 * 1024 * 1024
 READ_BYTES = 64 * 1024
-CONNECT_RETRY_S = 0.05  # after a connection that failed on this machine
+CONNECT_RETRY_S = 0.02  # after a connection that failed on this machine
 
 
 class _Response:
--- a/oakbridge/node/startup.py
+++ b/oakbridge/node/startup.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-import socket
+import selectors
 import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
@@ -63,11 +63,16 @@
 
 
 def _new_event_loop() -> asyncio.AbstractEventLoop:
-    return retry_resource_errors(_make_event_loop, "making the event loop")
+    selector = retry_resource_errors(selectors.DefaultSelector, "making the event loop's selector")
+    return retry_resource_errors(lambda: _EventLoop(selector), "making the event loop")
 
 
-def _make_event_loop() -> asyncio.AbstractEventLoop:
-    # A loop that fails halfway complains as it is collected: so what it needs is tried before.
-    for probe in socket.socketpair():
-        probe.close()
-    return asyncio.new_event_loop()
+class _EventLoop(asyncio.SelectorEventLoop):
+    """The usual event loop, which makes its own sockets with patience.
+
+    One that fails halfway through its constructor would complain as it is collected.
+    """
+
+    def _make_self_pipe(self) -> None:
+        make: Callable[[], None] = super()._make_self_pipe  # type: ignore[misc]
+        retry_resource_errors(make, "making the event loop's sockets")
