--- a/benchmarks/faults/soak.py
+++ b/benchmarks/faults/soak.py
@@ -36,7 +36,7 @@
 TOLD_S = 6.0  # after which a change counts as told, whether or not it arrived
 WALL_CLOCK_STEPS_S = (-3600, 0, 3600)
 CROWD_SIZE, CROWD_S = 160, 2.0
-END_GRACE_S = 3.0  # for the last answers
+MAX_HOLD_UP_S = 0.12  # a process may be held up so long
 
 # Each fault, the errors that Linux documents for it, and the share of calls that fail.
 FAULTS: tuple[tuple[Fault, tuple[int, ...], int], ...] = (
@@ -249,8 +249,10 @@
             servers.close()
         attempts = read_attempts(servers.logs, servers.kills)
         told = [t for n, d in enumerate(discoveries) for t in servers.told(n, d)]
-        for rule, texts in check(self.requests, attempts, told).by_rule.items():
+        found = check(self.requests, attempts, told)
+        for rule, texts in found.by_rule.items():
             self.findings.by_rule[rule] += texts
+        self._check_cut_answers(found.cut_long, sum(map(len, servers.kills.values())))
         self._check_logs()
         return SoakResult(
             self.seed,
@@ -292,7 +294,7 @@
         schedules = [self._change_servers(servers, random.Random(draw.getrandbits(32)))]
         for node in self.nodes:
             # Two faults of a node at a time.
-            of_node = (self._inject, self._inject, self._restart)
+            of_node = (self._inject, self._inject, self._restart, self._hold_up)
             schedules += [one(node, random.Random(draw.getrandbits(32))) for one in of_node]
         if draw.random() < 0.4:
             schedules.append(self._crowd(random.Random(draw.getrandbits(32))))
@@ -348,6 +350,16 @@
             node.is_up, node.ending_since = True, None
             await asyncio.sleep(draw.uniform(0.5, 4.0))
 
+    async def _hold_up(self, node: SoakNode, draw: random.Random) -> None:
+        """Have a node stand still for a moment, now and then."""
+        while self._left_s() > 2.0:
+            await asyncio.sleep(draw.uniform(0.5, 3.0))
+            process = node.process.process
+            assert process is not None
+            self._signal_process(process, signal.SIGSTOP)
+            await asyncio.sleep(draw.uniform(0.0, MAX_HOLD_UP_S))
+            self._signal_process(process, signal.SIGCONT)
+
     async def _hand_over(self, node: SoakNode, draw: random.Random) -> None:
         """Start a process beside the one that runs, which it takes over, and end that one."""
         previous = node.process.process
@@ -406,6 +418,15 @@
 
     # ---- what the nodes say
 
+    def _check_cut_answers(self, cut: Counter[int], kills: int) -> None:
+        """Check that no more long answers broke off than connections to servers were broken."""
+        for node in self.nodes:
+            faults = node.process.faults
+            broken = faults.injected(Fault.RECEIVE) + faults.injected(Fault.SEND) + kills
+            if cut[node.number] > broken:
+                text = f"node {node.number}: {cut[node.number]} long answers cut short"
+                self.findings.add("lost", text)
+
     def _check_logs(self) -> None:
         for node in self.nodes:
             for line in node.process.log().splitlines():
--- a/benchmarks/faults/soak_clients.py
+++ b/benchmarks/faults/soak_clients.py
@@ -28,6 +28,7 @@
     CUT_SHORT = "an answer cut short"
     SILENT = "no answer in time"
     LEFT = "the client left"
+    NEVER_WHOLE = "the client left in the midst of its request"
     NOT_CONNECTED = "no connection"
 
 
@@ -46,6 +47,7 @@
     outcome: Outcome = Outcome.NOT_CONNECTED
     status: int = 0
     body: bytes = b""
+    body_length: int = 0  # as its answer's head told
 
 
 @dataclass(slots=True)
@@ -144,7 +146,8 @@
 
     async def _exchange(self, connection: Connection, request: SentRequest) -> None:
         connection.is_new = False
-        connection.writer.write(self._encode(request))
+        if not await self._send(connection, request):
+            return
         request.sent_at = time.monotonic()
         patience_s = request.timeout_s + ANSWER_SLACK_S
         leaves = self._random.random() < 0.06
@@ -162,13 +165,30 @@
         except OSError:
             pass
 
+    async def _send(self, connection: Connection, request: SentRequest) -> bool:
+        """Send a request, some slowly in pieces; return False if the client left in its midst."""
+        data = self._encode(request)
+        draw = self._random.random()
+        if draw < 0.08:
+            half = self._random.randrange(1, len(data))
+            connection.writer.write(data[:half])
+            await asyncio.sleep(self._random.uniform(0.0, 0.3))
+            data = data[half:]
+        if draw < 0.03:
+            request.outcome = Outcome.NEVER_WHOLE
+            connection.writer.transport.abort()
+            return False
+        connection.writer.write(data)
+        return True
+
     async def _read_answer(self, connection: Connection, request: SentRequest) -> None:
         request.outcome = Outcome.CLOSED
         head = await connection.reader.readuntil(b"\r\n\r\n")
         request.outcome = Outcome.CUT_SHORT
         first, *lines = head.decode("latin-1").split("\r\n")[:-2]
         headers = {k.lower(): v.strip() for k, v in (line.split(":", 1) for line in lines)}
-        body = await connection.reader.readexactly(int(headers["content-length"]))
+        request.body_length = int(headers["content-length"])
+        body = await connection.reader.readexactly(request.body_length)
         request.outcome = Outcome.ANSWERED
         request.status, request.body = int(first.split(" ")[1]), body
         request.ended_at = time.monotonic()
--- a/benchmarks/faults/soak_rules.py
+++ b/benchmarks/faults/soak_rules.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import pairwise
@@ -17,6 +17,7 @@
 DRAIN_S = 0.25 + 0.05
 HELD_UP_S = 0.15  # a process may be held up so long between a clock's reading and a write
 DEDUPLICATION_S = 5.0
+LONG_BODY_BYTES = 64 * 1024  # from here on an answer may be passed on as it comes
 NOTICE_S = 0.1  # until a server that is busy notices that a node has closed its connection
 CLOCK_S = 0.02  # of timestamps of the kernel, which are whole jiffies
 
@@ -49,6 +50,8 @@
     """All violations, by rule."""
 
     by_rule: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
+    # Long answers that a node had begun to pass on and that broke off, by node.
+    cut_long: Counter[int] = field(default_factory=Counter)
 
     def add(self, rule: str, text: str) -> None:
         """Add a violation."""
@@ -123,6 +126,11 @@
             findings.add("lost", f"{name} got a wrong answer: {request.body[:40]!r}")
         if request.status not in (200, 502, 503):
             findings.add("lost", f"{name} got status {request.status}")
+    elif outcome is Outcome.NEVER_WHOLE:
+        if made:
+            findings.add("lost", f"{name} was forwarded, and never was whole")
+    elif outcome is Outcome.CUT_SHORT and request.body_length >= LONG_BODY_BYTES:
+        findings.cut_long[request.node] += 1
     elif outcome in (Outcome.CUT_SHORT, Outcome.SILENT):
         findings.add("lost", f"{name}: {outcome.value}, on node {request.node}")
     elif outcome is Outcome.CLOSED:
--- a/benchmarks/faults/soak_server.py
+++ b/benchmarks/faults/soak_server.py
@@ -17,6 +17,8 @@
 
 LAST_DATA_RECEIVED = struct.Struct("52xI")  # tcpi_last_data_recv in TCP_INFO: milliseconds ago
 BODY_REPEATS = (0, 1, 20, 2000)  # of the id in an answer's body
+LONG_REPEATS = 30_000  # of one that a node passes on as it comes
+LONG_SHARE = 0.03
 HANG_S = 60.0
 
 
@@ -45,7 +47,8 @@
 
     def body(self, request_id: str) -> bytes:
         """Return a body that only this request's answer has."""
-        return body_of(request_id, self._random.choice(BODY_REPEATS))
+        is_long = self._random.random() < LONG_SHARE
+        return body_of(request_id, LONG_REPEATS if is_long else self._random.choice(BODY_REPEATS))
 
 
 def body_of(request_id: str, repeats: int) -> bytes:
