Hand the clock over: a process that takes over goes on with the times of the one before

Change: a welcome tells the clock's offset to the monotonic one (a field that older releases ignore, and need not tell), and the next process's clock has the same; a value does not grow by fading where time went back.

--- a/benchmarks/faults/soak_clients.py
+++ b/benchmarks/faults/soak_clients.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from node_process import CLASSES, NodeProcess
@@ -58,7 +58,7 @@
     process: NodeProcess
     ending_since: float | None = None  # SIGTERM
     is_up: bool = True
-    crowd: list[asyncio.StreamWriter] = field(default_factory=list)
+    has_crowd: bool = False
 
     def takes_new_connections(self) -> bool:
         """Return whether the front would still send a new client here."""
@@ -113,10 +113,12 @@
         if self._connection is None:
             await asyncio.sleep(0.02)
             return request
+        connection = self._connection
         try:
-            await self._exchange(self._connection, request)
+            await self._exchange(connection, request)
         finally:
             request.ended_at = request.ended_at or time.monotonic()
+            request.in_crowd = request.in_crowd or connection.node.has_crowd
         if request.outcome is not Outcome.ANSWERED:
             self._drop()
         return request
@@ -141,7 +143,7 @@
             class_name=self._random.choice(CLASSES)["name"],
             timeout_s=self._random.choice((0.15, 0.5, 1.0, 2.0)),
             on_new_connection=connection is not None and connection.is_new,
-            in_crowd=connection is not None and bool(connection.node.crowd),
+            in_crowd=connection is not None and connection.node.has_crowd,
         )
 
     async def _exchange(self, connection: Connection, request: SentRequest) -> None:
@@ -219,14 +221,14 @@
 async def hold_crowd(node: SoakNode, size: int, seconds: float) -> None:
     """Hold idle connections at a node for a while: more than it has places for."""
     writers = []
+    node.has_crowd = True
     for _ in range(size):
         with suppress(OSError, TimeoutError):
             async with asyncio.timeout(1.0):
                 _, writer = await asyncio.open_connection("127.0.0.1", node.process.port)
             writers.append(writer)
-            node.crowd = writers
     await asyncio.sleep(seconds)
     for writer in writers:
         writer.transport.abort()
     await asyncio.sleep(0.5)
-    node.crowd = []
+    node.has_crowd = False
--- a/oakbridge/handover/messages.py
+++ b/oakbridge/handover/messages.py
@@ -33,6 +33,9 @@
     endpoint_list: JsonObject  # all listed servers, in the form that discovery gives them
     outages: JsonObject  # the servers that operators hold out, see Outages.saved
     draining: bool
+    # The node's clock less the monotonic clock, in microseconds: all times in what is handed over
+    # are of that clock.  None: a release that did not tell.
+    clock_offset: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +92,7 @@
     attribute: str
     wire_name: str
     json_type: type
+    is_optional: bool = False  # later releases tell it; where it is missing it is None
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +114,7 @@
             _Field("endpoint_list", "known", dict),
             _Field("outages", "outages", dict),
             _Field("draining", "draining", bool),
+            _Field("clock_offset", "clock", int, is_optional=True),
         ),
     ),
     _Format("decline", Decline, (_Field("reason", "why", str),)),
@@ -145,7 +150,8 @@
 def encode(message: Message) -> bytes:
     """Return the JSON text of a message."""
     wire_format = _FORMAT_BY_TYPE[type(message)]
-    fields = {field.wire_name: getattr(message, field.attribute) for field in wire_format.fields}
+    values = ((field.wire_name, getattr(message, field.attribute)) for field in wire_format.fields)
+    fields = {wire_name: value for wire_name, value in values if value is not None}
     return json.dumps({"v": PROTOCOL_VERSION, "kind": wire_format.kind, **fields}).encode()
 
 
@@ -179,6 +185,8 @@
 
 def _decode_field(kind: str, field: _Field, raw: JsonObject) -> Any:
     value = raw.get(field.wire_name)
+    if value is None and field.is_optional:
+        return None
     if not isinstance(value, field.json_type):
         where = f"{kind}.{field.wire_name}"
         expected = field.json_type.__name__
--- a/oakbridge/handover/predecessor.py
+++ b/oakbridge/handover/predecessor.py
@@ -157,6 +157,7 @@
             endpoint_list=encode_endpoint_list(index or 0, node.endpoints.current()),
             outages=node.outages.saved(),
             draining=node.server.lifecycle.draining,
+            clock_offset=node.clock.offset,
         )
         try:
             descriptors = node.server.listener.duplicate_descriptors()
--- a/oakbridge/node/clock.py
+++ b/oakbridge/node/clock.py
@@ -42,9 +42,15 @@
     a place in the loop's heap.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, offset: int | None = None) -> None:
+        """``offset``: this clock less the monotonic one, in microseconds; None: as wall clocks tell.
+
+        A process that takes over goes on with the offset of the one before it on this machine: the
+        wall clock may have been stepped in between, and times that it is given are of that clock.
+        """
         self._loop = loop
-        self._offset = time.time_ns() // _NS_PER_US - time.monotonic_ns() // _NS_PER_US
+        wall_offset = time.time_ns() // _NS_PER_US - time.monotonic_ns() // _NS_PER_US
+        self._offset = wall_offset if offset is None else offset
         # Due time, number (equals fire in the order they were set), timer.
         self._heap: list[tuple[int, int, Timer]] = []
         self._count = 0
@@ -52,6 +58,11 @@
         self._armed: asyncio.TimerHandle | None = None
         self._armed_for = 0
 
+    @property
+    def offset(self) -> int:
+        """The difference of this clock to the monotonic one, in microseconds."""
+        return self._offset
+
     def now(self) -> int:
         """Return the time in microseconds."""
         return time.monotonic_ns() // _NS_PER_US + self._offset
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -56,15 +56,17 @@
         *,
         listening: Listening | None = None,
         outages: Outages | None = None,
+        clock_offset: int | None = None,
     ) -> None:
         """Open the listening sockets, and apply the saved endpoint list.  Raise ConfigError, OSError.
 
         ``source``: makes the source of endpoint lists; None: discovery is the source.
         ``outages``: servers that operators had taken out in the previous process.
+        ``clock_offset``: that of the previous process's clock.
         """
         self.config = config
         self.settings = config.settings
-        self.clock = Clock(loop)
+        self.clock = Clock(loop, clock_offset)
         self.ids = itertools.count(1)  # the balancer's numbers of requests, for all fronts
         self.outages = outages or Outages()
         self.balancer = Balancer(config.settings, config.seed)
--- a/oakbridge/operators/service.py
+++ b/oakbridge/operators/service.py
@@ -64,7 +64,8 @@
         listeners, successor.listeners = successor.listeners, []
         inherited_sockets = _inherit_listeners(listeners, config.listen)
         listening = Listening(inherited=inherited_sockets, reuse_port=True)
-        return Node(config, loop, listening=listening, outages=outages)
+        clock_offset = None if inherited is None else inherited.clock_offset
+        return Node(config, loop, listening=listening, outages=outages, clock_offset=clock_offset)
 
     def _inherit_config(
         self, config: Config | None, config_error: ConfigError | None, inherited: Welcome
--- a/oakbridge/policy/throughput.py
+++ b/oakbridge/policy/throughput.py
@@ -14,7 +14,7 @@
 
 def faded(value: float, floor: float, elapsed: int, fade_us: int) -> float:
     """Return what is left of a value after so many microseconds; it falls to the floor."""
-    return floor + (value - floor) * math.exp(-elapsed / fade_us)
+    return floor + (value - floor) * math.exp(-max(0, elapsed) / fade_us)
 
 
 class UsualValue:
--- a/tests/faults/test_node_faults.py
+++ b/tests/faults/test_node_faults.py
@@ -198,3 +198,30 @@
                 caller.close()
 
     run(scenario())
+
+
+@pytest.mark.parametrize("step", [-3600, 3600])
+def test_process_takes_over_though_the_wall_clock_was_stepped(tmp_path, step):
+    """Guards against times of the process before that are an hour off in the next one."""
+
+    async def scenario():
+        async with Peer(lambda _: reply(200, b"served")) as peer:
+            node = NodeProcess(tmp_path, [peer.port], operated=True)
+            await node.start()
+            caller = await answered_caller(node)
+            previous = node.process
+            node.faults.step_wall_clock(step)
+            await node.start(wait=False)
+            async with asyncio.timeout(20):
+                while "taken over" not in node.log():
+                    await asyncio.sleep(0.02)
+            previous.send_signal(signal.SIGTERM)
+            assert await soon(previous.wait()) == 0
+            for kept in (caller, await Caller.connect(node.port)):
+                kept.send()
+                assert (await kept.answer())[0] == 200
+                kept.close()
+            assert "Traceback" not in node.log()
+            await node.stop()
+
+    run(scenario())
