--- a/tests/faults/test_node_faults.py
+++ b/tests/faults/test_node_faults.py
@@ -200,17 +200,18 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("step", [-3600, 3600])
-def test_process_takes_over_though_the_wall_clock_was_stepped(tmp_path, step):
+@pytest.mark.parametrize("before_s", [-3600, 3600])
+def test_process_takes_over_though_the_wall_clock_was_stepped(tmp_path, before_s):
     """Guards against times of the process before that are an hour off in the next one."""
 
     async def scenario():
         async with Peer(lambda _: reply(200, b"served")) as peer:
             node = NodeProcess(tmp_path, [peer.port], operated=True)
+            node.faults.step_wall_clock(before_s)
             await node.start()
             caller = await answered_caller(node)
             previous = node.process
-            node.faults.step_wall_clock(step)
+            node.faults.step_wall_clock(-before_s)
             await node.start(wait=False)
             async with asyncio.timeout(20):
                 while "taken over" not in node.log():
