--- a/benchmarks/faults/soak.py
+++ b/benchmarks/faults/soak.py
@@ -130,6 +130,7 @@
 
     def __init__(self, folder: Path, count: int, seed: int) -> None:
         self.index = 1
+        self.pushed = False  # whether discovery is an agent, to which lists are pushed
         self.names = [f"s-{number}" for number in range(count)]
         self.ports = dict(zip(self.names, free_ports(count), strict=True))
         self.logs = [folder / f"{name}.jsonl" for name in self.names]
@@ -205,8 +206,11 @@
             returned_at = self.returns.get((name, version), float("inf"))
             ends = [run.started_at for run in discovery.runs[1:]] + [float("inf")]
             for run, ended_at in zip(discovery.runs, ends, strict=True):
-                told_by = max(published_at, run.started_at) + TOLD_S
+                had_at = max(published_at, run.started_at)
+                told_by = had_at + TOLD_S
                 since = min(run.written_at.get(version, told_by), told_by)
+                if self.pushed:  # what the agent has counts as told, whether or not it is asked
+                    since = had_at
                 found.append(Told(node, name, since, min(returned_at, ended_at)))
         return found
 
@@ -265,8 +269,8 @@
     async def _start_nodes(
         self, draw: random.Random, servers: SoakServers, discoveries: list[NodeDiscovery]
     ) -> None:
-        pushed, cancelling = draw.random() < 0.5, draw.random() < 0.7
-        settings = node_settings(discovery="pushed" if pushed else "on_request")
+        servers.pushed, cancelling = draw.random() < 0.5, draw.random() < 0.7
+        settings = node_settings(discovery="pushed" if servers.pushed else "on_request")
         settings["allowed"] = settings["allowed"] | {
             "cancelling": cancelling,
             "conn-idle": draw.choice((1_000_000, 30_000_000)),
