Take nothing for a request that follows one which was said to be the last

Cause: requests behind one with Connection: close were queued, dropped at its response, and now counted as a violation of ours.

Change: they are not queued (RFC 9112, 9.6). The files of a small change stand once for the tests of fleets on processes.

--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -166,7 +166,10 @@
             self._send_continue()
 
     def on_request(self, request: ClientRequest) -> None:
-        """Queue a complete request."""
+        """Queue a complete request, unless one before it was said to be the last (RFC 9112, 9.6)."""
+        last = self.pending[-1] if self.pending else self.in_flight
+        if last is not None and not last.keep_alive:
+            return
         if len(self.pending) >= MAX_PIPELINED:
             self.parser.fail(503)
         else:
--- a/tests/faults/test_agent_faults.py
+++ b/tests/faults/test_agent_faults.py
@@ -10,7 +10,7 @@
 import pytest
 from fault_control import DISK_FAULTS, FaultControl
 from peers import LIMIT
-from process_fleet import OAKBRIDGE, ProcessFleet
+from process_fleet import OAKBRIDGE, ProcessFleet, files_with_aim
 
 HOSTS, INSTANCES = 4, ("n0", "n1")
 QUICK = ("--watch", "1", "--window", "1", "--silent", "20")
@@ -78,16 +78,6 @@
             self._stop.wait(PERIOD_S - FAILING_S)
 
 
-def files_with_aim(aim: str) -> dict[str, str]:
-    """Return the files of a change."""
-    config = (
-        '[servers]\nfile = "servers.toml"\n\n[[class]]\nname = "look"\n'
-        f'aim = "{aim}"\ndeadline = "9s"\nrepeat = "safe"\n'
-    )
-    servers = '[[server]]\nname = "a"\naddress = "127.0.0.1:9"\n'
-    return {"oakbridge.toml": config, "servers.toml": servers}
-
-
 class FaultyFleet(ProcessFleet):
     """Four hosts with two nodes each; each agent's disk has a control of its own."""
 
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -327,3 +327,19 @@
         and not balancer.requests
         and balancer.admission.in_flight == 0
     )
+
+
+def test_what_follows_a_request_that_is_said_to_be_the_last_is_no_request():
+    """No response is owed for it, and none is counted as missing."""
+
+    async def scenario():
+        async with Peer(lambda _: reply(200, b"car")) as peer, Running(peer) as node:
+            caller = await node.caller()
+            caller.send(Connection="close")
+            caller.send()
+            assert (await caller.answer())[2] == b"car"
+            assert await caller.ended() == b""
+            assert peer.seen.qsize() == 1
+            assert node.node.server.invariants.total() == 0
+
+    run(scenario())
--- a/tests/rollout/process_fleet.py
+++ b/tests/rollout/process_fleet.py
@@ -22,6 +22,16 @@
 OAKBRIDGE = (sys.executable, "-m", "oakbridge.cli")
 
 
+def files_with_aim(aim: str) -> dict[str, str]:
+    """Return the files of a configuration, which is known by its aim."""
+    config = (
+        '[servers]\nfile = "servers.toml"\n\n[[class]]\nname = "look"\n'
+        f'aim = "{aim}"\ndeadline = "9s"\nrepeat = "safe"\n'
+    )
+    servers = '[[server]]\nname = "a"\naddress = "127.0.0.1:9"\n'
+    return {"oakbridge.toml": config, "servers.toml": servers}
+
+
 class ProcessFleet:
     """Hosts ``h0``, ``h1``, ...: one agent each, in a process of its own, with the same instances.
 
--- a/tests/rollout/test_rollouts.py
+++ b/tests/rollout/test_rollouts.py
@@ -7,21 +7,12 @@
 
 import pytest
 from peers import LIMIT
-from process_fleet import OAKBRIDGE, ProcessFleet
+from process_fleet import OAKBRIDGE, ProcessFleet, files_with_aim
 
 HOSTS = 4
 QUICK = ("--watch", "1", "--window", "1", "--silent", "20")
 
 
-def files_with_aim(aim: str) -> dict[str, str]:
-    config = (
-        '[servers]\nfile = "servers.toml"\n\n[[class]]\nname = "look"\n'
-        f'aim = "{aim}"\ndeadline = "9s"\nrepeat = "safe"\n'
-    )
-    servers = '[[server]]\nname = "a"\naddress = "127.0.0.1:9"\n'
-    return {"oakbridge.toml": config, "servers.toml": servers}
-
-
 class FleetWithTool(ProcessFleet):
     """Four hosts with a node each, and the commands of ``oakbridge fleet``."""
 
