--- a/benchmarks/faults/node_process.py
+++ b/benchmarks/faults/node_process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 from fault_control import FaultControl
@@ -58,20 +59,29 @@
         self.process: asyncio.subprocess.Process | None = None
         servers = [endpoint(f"s-{number}", port) for number, port in enumerate(server_ports)]
         self._config = folder / f"{name}.json"
-        self._write_config(
-            {
-                "name": name,
-                "listen": f"127.0.0.1:{self.port}",
-                "discovery": f"127.0.0.1:{discovery}",
-                "seed": f"{seed:x}",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-                "known": listing(1, *servers),
-                "settings": settings or node_settings(),
-            }
-        )
-
-    def _write_config(self, config: dict) -> None:
-        self._config.write_text(json.dumps(config))
+        self._configuration = {
+            "name": name,
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{discovery}",
+            "seed": f"{seed:x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "known": listing(1, *servers),
+            "settings": settings or node_settings(),
+        }
+        self.reconfigure()
+
+    def reconfigure(self, **changes: object) -> None:
+        """Write the configuration with changed fields, at once as a whole; SIGHUP has it read."""
+        self._configuration |= changes
+        unfinished = self._config.with_suffix(".new")
+        unfinished.write_text(json.dumps(self._configuration))
+        unfinished.rename(self._config)
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process, if it runs; not by asyncio's, which may take its exit code."""
+        if self.process is not None and self.process.returncode is None:
+            with suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def start(self, *, wait: bool = True) -> None:
         """Start the process; wait until it is ready."""
