Keep the age of the endpoint list within its bound in one place

Cause: a call to discovery, its time-out, the wait after it and a reload each began a count of their own. A reload that ended a call left the timer of the wait before it running, so a refused node asked as often again with each reload and kept discovery's queue full; it also gave up the place in the queue; and a watch begun anew waited for its first answer as long as for news, up to 7 s.

Change: node/list_refresh.py holds the 6 s. One time for the next call, counted from when the list was last known to be up to date; a first call that does not wait, and another beside one that is overdue; a move leaves the call that is out in its place; an answer that stops half-way is given up after 0.5 s; a hand-over carries the list and its age over. The balancer keeps one poll timer too; what it waits is in policy/poll_backoff.py.

--- a/oakbridge/handover/actions.py
+++ b/oakbridge/handover/actions.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from oakbridge.handover.messages import JsonObject, Message, OperatorCommand, RemainingLoad, Welcome
+from oakbridge.handover.messages import Message, OperatorCommand, RemainingLoad, TakeOver, Welcome
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,9 +38,9 @@
 
 @dataclass(frozen=True, slots=True)
 class StartServing:
-    """Serve from now on, with what the predecessor's policy learned, or with nothing (None)."""
+    """Serve from now on, with what the predecessor knew, or with nothing (None)."""
 
-    policy_state: JsonObject | None
+    predecessor: TakeOver | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/oakbridge/handover/messages.py
+++ b/oakbridge/handover/messages.py
@@ -55,6 +55,10 @@
     """Predecessor to successor: serve from now on, as the predecessor accepts nothing more."""
 
     policy_state: JsonObject  # what its policy learned, see oakbridge.policy.state
+    # What it was told since the welcome counts as told to this node.  None: a release that did not
+    # tell, or whose list is not of discovery.
+    endpoint_list: JsonObject | None = None
+    list_age: int | None = None  # since it was known to be up to date, in microseconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +123,15 @@
     ),
     _Format("decline", Decline, (_Field("reason", "why", str),)),
     _Format("ready", Ready),
-    _Format("over", TakeOver, (_Field("policy_state", "learned", dict),)),
+    _Format(
+        "over",
+        TakeOver,
+        (
+            _Field("policy_state", "learned", dict),
+            _Field("endpoint_list", "known", dict, is_optional=True),
+            _Field("list_age", "age", int, is_optional=True),
+        ),
+    ),
     _Format(
         "call",
         OperatorCommand,
--- a/oakbridge/handover/predecessor.py
+++ b/oakbridge/handover/predecessor.py
@@ -175,12 +175,23 @@
         node = self._node
         node.server.hand_over(self._migrate_connection)
         node.pool.close_idle()
-        self._send(TakeOver(policy_state.save(node.balancer, node.clock.now())))
+        self._send(self._take_over_message())
         # docs/operations.md quotes this line: client connections migrate as they become idle.
         log.info("handed over; %d callers move on as they rest", node.server.connection_count())
         self._report_load(None)
         node.server.hand_over_idle_connections()
 
+    def _take_over_message(self) -> TakeOver:
+        node = self._node
+        learned = policy_state.save(node.balancer, node.clock.now())
+        if not isinstance(node.source, DiscoverySource):
+            return TakeOver(learned)
+        return TakeOver(
+            learned,
+            endpoint_list=encode_endpoint_list(node.source.index, node.endpoints.current()),
+            list_age=node.source.list_age_us(),
+        )
+
     def _migrate_connection(self, descriptor: int) -> bool:
         """Send an idle client connection to the successor; False if that is gone."""
         return self._send(ClientConnection(), [descriptor])
--- a/oakbridge/handover/state_machine.py
+++ b/oakbridge/handover/state_machine.py
@@ -133,7 +133,7 @@
                 return [BuildNode(message)]
             case TakeOver() if self.state is SuccessorState.TAKING_OVER:
                 self.state = SuccessorState.SERVING
-                return [StartServing(message.policy_state)]
+                return [StartServing(message)]
             case RemainingLoad() if self.state is SuccessorState.SERVING:
                 return [ReserveForPredecessor(message)]
             case OperatorCommand() if self.state is not SuccessorState.CONNECTING:
--- a/oakbridge/handover/successor.py
+++ b/oakbridge/handover/successor.py
@@ -25,10 +25,14 @@
     Message,
     OperatorCommand,
     RemainingLoad,
+    TakeOver,
     Welcome,
 )
 from oakbridge.handover.state_machine import SuccessorState, SuccessorStateMachine
 from oakbridge.handover.unix_socket import connect
+from oakbridge.node.discovery import DiscoverySource
+from oakbridge.node.endpoint_list_json import parse_endpoint_list
+from oakbridge.node.errors import EndpointListError
 from oakbridge.node.node import Node
 from oakbridge.policy import state as policy_state
 from oakbridge.policy.events import InFlightInOtherProcess
@@ -136,7 +140,7 @@
                 case BuildNode():
                     self.welcome = action.welcome
                 case StartServing():
-                    self._start_serving(action.policy_state)
+                    self._start_serving(action.predecessor)
                 case ReserveForPredecessor():
                     self._reserve_for_predecessor(action.load)
                 case ApplyCommand():
@@ -166,18 +170,39 @@
         else:
             self._apply_command(command.verb, command.server_id)
 
-    def _start_serving(self, learned: JsonObject | None) -> None:
+    def _start_serving(self, predecessor: TakeOver | None) -> None:
         node = self._node
         assert node is not None
-        if learned is not None:
-            self._restore_policy_state(node, learned)
-            if node.settings.poll_discovery:
-                node.source.watch(True)
+        if predecessor is not None:
+            self._take_over_list(node, predecessor)
+            self._restore_policy_state(node, predecessor.policy_state)
             log.info("taken over")
         for sock in self._early_connections:
             node.server.admit(sock)
         self._early_connections = []
 
+    @staticmethod
+    def _take_over_list(node: Node, predecessor: TakeOver) -> None:
+        """Go on from the predecessor's list, which may be newer than the one of its welcome.
+
+        The list's age goes on too: a bound that began anew with each process would not be one.
+        """
+        source = node.source
+        if not isinstance(source, DiscoverySource):
+            if node.settings.poll_discovery:
+                source.watch(True)
+            return
+        try:
+            if predecessor.endpoint_list is not None:
+                known = parse_endpoint_list(predecessor.endpoint_list)
+                if not source.has_list or known.index > source.index:
+                    node.endpoints.on_endpoint_list(known, saved=True)
+                    source.index = known.index
+        except EndpointListError as error:
+            log.warning("unusable list from the predecessor: error=%s", error)
+        if node.settings.poll_discovery:
+            source.resume(predecessor.list_age)
+
     @staticmethod
     def _restore_policy_state(node: Node, learned: JsonObject) -> None:
         try:
--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -1,83 +1,63 @@
-"""Discovery as a source of endpoint lists: poll it, watch it for changes, and report when either fails."""
+"""Discovery as a source of endpoint lists: the calls that its refresh schedule asks for."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import replace
 
 from oakbridge.node.address import Address
-from oakbridge.node.discovery_http import poll
+from oakbridge.node.discovery_http import PollResponse, poll
 from oakbridge.node.endpoint_list import EndpointList
 from oakbridge.node.endpoint_source import EndpointListener
-from oakbridge.node.errors import EndpointListError
+from oakbridge.node.errors import EndpointListError, OutdatedListError
+from oakbridge.node.list_refresh import Call, CallKind, Failure, RefreshSchedule
 from oakbridge.node.observer import NodeObserver
 from oakbridge.node.system_errors import is_path_error
-from oakbridge.policy.endpoint_reconciler import AT_ONCE_US
 
 log = logging.getLogger(__name__)
 
-# Every change must reach a node within its propagation deadline: 6 s after discovery has it, or less
-# where the settings ask for shorter poll intervals.  The deadline also holds while a node can't reach
-# discovery.
-#
-# A watch that has broken silently looks like one without changes, so each watch is short: what is
-# left of the deadline is for a new poll.  All nodes may poll at the same time then, and discovery
-# handles its request queue one request at a time.  The length of a watch has jitter, so that nodes
-# that got the same change do not end their watches, or time out, together.  Renewing a watch costs
-# discovery nothing.
-MIN_WATCH_S = 0.5
-MAX_WATCH_S = 4.0
-# Left of a shorter propagation deadline after the longest watch.
-POLL_MARGIN_S = 2.0
-# A response may be so much later than the end of its watch.
-WATCH_GRACE_S = 0.5
-# The request that starts a watch may wait in discovery's request queue.  Discovery itself rejects
-# requests that have waited there for one to three seconds.
-RESPONSE_TIMEOUT_S = 3.0
-AGENT_RESPONSE_TIMEOUT_S = 1.0  # an agent on the same machine responds at once
-AGENT_RETRY_S = 0.1  # after a request to it failed
-PATH_RETRY_S = 0.05  # after the way to discovery broke,
-MAX_PATH_RETRIES = 10  # and so often in a row
-# A version before all others.  A watch from here is answered with the complete list at once and then
-# goes on as a watch; a poll for the list and a watch after it would be two requests in the queue.
+# A version before all others: a call for changes since then is answered with the complete list.
 BEFORE_ALL_VERSIONS = -1
 LIST_PATH = "/api/targets"
+MS_PER_S = 1000
 US_PER_S = 1e6
 
 
 class DiscoverySource:
-    """Polls discovery; calls the listener with lists, and with polls that failed."""
+    """Calls discovery whenever its schedule says so, and the listener with the lists that come.
+
+    Where discovery is polled, it is one service for all nodes, at whichever address: a move changes
+    where the next call goes, while those that are out keep their places in its queue.
+    """
 
     def __init__(
         self, address: Address, *, pushed: bool, poll_interval_us: int, seed: int = 0
     ) -> None:
         """Make a source that is idle until :meth:`start` or :meth:`watch`.
 
-        ``pushed``: an agent on the same machine pushes lists; else the balancer starts watches.
-        ``poll_interval_us``: the propagation deadline of a change.
+        ``pushed``: an agent on the same machine pushes lists; else the balancer starts the watch.
+        ``poll_interval_us``: the setting, which bounds the age of the list where it is short.
         """
         self._address = address
         self._pushed = pushed
-        longest = poll_interval_us / US_PER_S - POLL_MARGIN_S
-        self._max_watch_s = max(MIN_WATCH_S, min(MAX_WATCH_S, longest))
-        self._response_timeout_s = AGENT_RESPONSE_TIMEOUT_S if pushed else RESPONSE_TIMEOUT_S
-        self._random = random.Random(f"discovery {seed}")
+        self._loop = asyncio.get_running_loop()
+        self._schedule = RefreshSchedule(
+            self._loop.time(), poll_interval_us, random.Random(f"discovery {seed}"), pushed=pushed
+        )
         self.index = BEFORE_ALL_VERSIONS
-        # Whether the current watch has had a response, so that the list is up to date.
-        self._watch_established = False
-        self._has_list = False  # whether any list has come
-        self._fresh_at = 0.0  # when the list was last known to be up to date, in the loop's time
-        self._watch_task: asyncio.Task[None] | None = None
-        self._fetch_tasks: set[asyncio.Task[None]] = set()
+        self.has_list = False  # whether any list has come
+        self._needs_complete_list = False  # the next call asks for it
+        self._calls: dict[Call, asyncio.Task[None]] = {}
+        self._next_call: asyncio.TimerHandle | None = None
         self.observer: NodeObserver | None = None
 
     def attach(self, listener: EndpointListener) -> None:
         """Name the listener."""
         self._on_list: Callable[[EndpointList], None] = listener.on_endpoint_list
-        self._on_poll_failed: Callable[[int, int], None] = listener.on_poll_failed
 
     def start(self) -> None:
         """Listen to the agent where lists are pushed; elsewhere the balancer starts a watch."""
@@ -85,147 +65,143 @@
             self.watch(True)
 
     def watch(self, on: bool) -> None:
-        """Start or stop a watch; one that runs, or is being started, keeps its place in the request queue."""
-        if not on and self._watch_task is not None:
-            self._watch_task.cancel()
-            self._watch_task = None
-        elif on and self._watch_task is None:
-            self._watch_task = asyncio.get_running_loop().create_task(self._watch())
+        """Begin to watch, or stop; a watch that runs, or waits for its turn, goes on as it is."""
+        if not on:
+            self.stop()
+        elif not self._schedule.is_running:
+            self._schedule.start(self._loop.time())
+            self._arm()
+
+    def resume(self, age_us: int | None) -> None:
+        """Watch from the list that another process of this node had; None: of unknown age."""
+        age_s = math.inf if age_us is None else age_us / US_PER_S
+        self._schedule.start(self._loop.time(), age_s)
+        self._arm()
+
+    def list_age_us(self) -> int | None:
+        """Return how long ago the list was known to be up to date; None if none has come."""
+        if not self.has_list:
+            return None
+        return int(US_PER_S * self._schedule.age_s(self._loop.time()))
 
     def fetch(self) -> None:
-        """Poll for the complete list once."""
-        task = asyncio.get_running_loop().create_task(self._fetch())
-        self._fetch_tasks.add(task)
-        task.add_done_callback(self._fetch_tasks.discard)
+        """Have the next call read the complete list; those that are out go on."""
+        self._needs_complete_list = True
+        self._schedule.end_watch()
 
     def move(self, address: Address) -> None:
-        """Use another address from now on, and poll it at once.
-
-        Requests to the old address are cancelled, so their responses and failures are ignored.
+        """Use another address from now on.
 
         Where lists are pushed, each agent has versions of its own, so the complete list is read
-        anew.  Where discovery is polled, it is one service for all nodes, and the watch continues
-        from the current version: complete lists for all nodes at once would occupy the request
-        queue for longer than the propagation deadline.  If the new address has a lower version, the
-        complete list is polled all the same (see _apply).
+        anew, at once.  Where discovery is polled, the next call goes there: a call or a watch that
+        was given up would lose its place, and the nodes' calls together, made anew with each
+        reload, keep discovery's queue full.
         """
-        self.stop()
-        if self._watch_established:
-            self._fresh_at = self._now()
         self._address = address
+        self._schedule.end_watch()
         if self._pushed:
             self.index = BEFORE_ALL_VERSIONS
-        self.watch(True)
+            self._cancel_calls()
+            self._schedule.restart(self._loop.time())
+            self._arm()
 
     def stop(self) -> None:
-        """Poll no more."""
-        for task in [self._watch_task, *self._fetch_tasks]:
-            if task is not None:
-                task.cancel()
-        self._watch_task = None
-
-    async def _fetch(self) -> None:
-        started_at = self._now()
-        try:
-            self._apply(await self._poll(LIST_PATH, self._response_timeout_s), first=True)
-        except Exception as e:
-            self._log_failure(e)
-            self._report_failure(self._now() - started_at)
-
-    async def _watch(self) -> None:
-        """Renew the watch after each response, until it fails.
-
-        A failure is handled by what it leaves uncertain:
-
-        - An established watch times out: discovery may only have lost the connection, so the watch
-          is started anew at once, and nothing is reported yet.
-        - The way to discovery breaks (a path error): a response may be lost that counts as told, so
-          the call is made again at once, a few times.
-        - Anything else, also a time-out of the first response: the agent is tried again after a
-          pause; with discovery, the watch ends and the listener is called, which decides when to poll.
+        """Call discovery no more."""
+        self._schedule.stop()
+        self._cancel_calls()
+        self._arm()
+
+    # ---- calls
+
+    def _cancel_calls(self) -> None:
+        for task in self._calls.values():
+            task.cancel()
+        self._calls.clear()
+
+    def _arm(self) -> None:
+        """Have the one timer there is go off when the next call is due."""
+        if self._next_call is not None:
+            self._next_call.cancel()
+            self._next_call = None
+        due = self._schedule.next_call_at()
+        if due < math.inf:
+            self._next_call = self._loop.call_at(due, self._begin_call)
+
+    def _begin_call(self) -> None:
+        call = self._schedule.begin_call(self._loop.time())
+        self._calls[call] = self._loop.create_task(self._make_call(call))
+        self._arm()
+
+    async def _make_call(self, call: Call) -> None:
+        """Make a call, and tell the schedule what became of it.
+
+        Errors of any kind are failures: a watch that ended unnoticed would hide every drain.
         """
-        self._watch_established = False
-        path_errors = 0  # in a row
-        while True:
-            started_at = self._now()
-            try:
-                await self._watch_once()
-                path_errors = 0
-            except (
-                Exception
-            ) as e:  # of any kind: a watch that ended unnoticed would hide every drain
-                if self._watch_established and isinstance(e, TimeoutError):
-                    log.warning("a watch has fallen silent: asking anew")
-                    self._watch_established = False
-                    continue
-                self._log_failure(e)
-                if is_path_error(e) and path_errors < MAX_PATH_RETRIES:
-                    path_errors += 1
-                    self._watch_established = False
-                    await asyncio.sleep(PATH_RETRY_S)
-                    continue
-                if not self._pushed:
-                    self._watch_task = None
-                    self._report_failure(self._now() - started_at)
-                    return
-                self._watch_established = False
-                await asyncio.sleep(AGENT_RETRY_S)
-
-    async def _watch_once(self) -> None:
-        """Wait for changes since the current version, and apply them."""
-        watch_s = self._random.uniform(MIN_WATCH_S, self._max_watch_s)
-        path = f"{LIST_PATH}?since={self.index}&timeout_ms={int(1000 * watch_s)}"
-        grace_s = WATCH_GRACE_S if self._watch_established else self._response_timeout_s
-        new = await self._poll(path, watch_s + grace_s)
-        self._apply(new, first=not self._watch_established)
-        self._watch_established = True
-
-    async def _poll(self, path: str, timeout_s: float) -> EndpointList:
+        address = self._address
+        if self._needs_complete_list:
+            self.index = BEFORE_ALL_VERSIONS
+            self._needs_complete_list = False
+        path = f"{LIST_PATH}?since={self.index}&timeout_ms={int(MS_PER_S * call.wait_s)}"
+        try:
+            response = await self._poll(address, path, call.timeout_s)
+            del self._calls[call]
+            self._cancel_calls()
+            self._schedule.give_up_others(call)
+            self._apply(response, first=call.kind is CallKind.OPENING)
+        except Exception as error:
+            self._calls.pop(call, None)
+            self._on_failure(call, error)
+        else:
+            now = self._loop.time()
+            continues = address == self._address and not self._needs_complete_list
+            self._schedule.on_answer(now, response.begun_at, continues=continues)
+        self._arm()
+
+    async def _poll(self, address: Address, path: str, timeout_s: float) -> PollResponse:
         if self.observer is not None:
-            self.observer.on_poll(complete_list="?" not in path)
-        new = await poll(self._address, path, timeout_s)
+            self.observer.on_poll(complete_list=f"since={BEFORE_ALL_VERSIONS}&" in path)
+        response = await poll(address, path, timeout_s)
         if self.observer is not None:
-            self.observer.on_endpoint_list(len(new.endpoints))
-        return new
-
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
-
-    def _report_failure(self, waited_s: float) -> None:
-        """Tell the listener that a poll or a watch failed, for how long it waited, and how old the list is.
-
-        An established watch that breaks late was up to date until now; one that breaks at once was
-        rejected by discovery, and the list is as old as it was.
-        """
-        now = self._now()
-        waited_us = max(1, int(US_PER_S * waited_s))
-        if self._watch_established and waited_us > AT_ONCE_US:
-            self._fresh_at = now
-            waited_us = 0
-        self._watch_established = False
-        self._on_poll_failed(waited_us, int(US_PER_S * (now - self._fresh_at)))
-
-    @staticmethod
-    def _log_failure(e: Exception) -> None:
-        expected = isinstance(e, EndpointListError | OSError)  # a time-out is one of the latter
+            self.observer.on_endpoint_list(len(response.list.endpoints))
+        return response
+
+    def _on_failure(self, call: Call, error: Exception) -> None:
+        now = self._loop.time()
+        failure = failure_of(error)
+        self._schedule.on_failure(call, now, failure)
+        expected = isinstance(error, EndpointListError | OSError)  # a time-out is one of the latter
         log.warning(
-            "discovery is lost: %s", str(e) or type(e).__name__, exc_info=None if expected else e
+            "discovery is lost: %s (%s call, %s after %.3f s; list %.1f s old; next call in %.3f s)",
+            str(error) or type(error).__name__,
+            call.kind.value,
+            failure.value,
+            now - call.started_at,
+            self._schedule.age_s(now),
+            self._schedule.next_call_at() - now,
+            exc_info=None if expected else error,
         )
 
-    def _apply(self, new: EndpointList, *, first: bool) -> None:
+    def _apply(self, response: PollResponse, *, first: bool) -> None:
         """Pass a list to the listener, unless it is a watch's response without changes.
 
-        ``first``: it answers a poll or starts a watch; it is passed on also without changes.
+        ``first``: it begins a watch; it is passed on also without changes.
         """
-        before = self.index
+        new, before = response.list, self.index
         if not new.complete and new.index < before:
-            # The versions of whoever responds begin anew: the next request reads the complete list.
+            # The versions of whoever responds begin anew: the next call reads the complete list.
             self.index = BEFORE_ALL_VERSIONS
-            raise EndpointListError(f"index: expected changes since {before}, got {new.index}")
+            raise OutdatedListError(f"index: expected changes since {before}, got {new.index}")
         self.index = new.index
-        staleness = int(US_PER_S * (self._now() - self._fresh_at)) if self._has_list else None
-        self._has_list = True
-        self._fresh_at = self._now()
+        staleness = self.list_age_us()
+        self.has_list = True
         if first or new.complete or new.endpoints:
             self._on_list(replace(new, staleness=staleness))
+
+
+def failure_of(error: Exception) -> Failure:
+    """Return how a call failed, by its error."""
+    if is_path_error(error):
+        return Failure.PATH
+    if isinstance(error, TimeoutError):
+        return Failure.SILENT
+    return Failure.OUTDATED if isinstance(error, OutdatedListError) else Failure.REFUSED
--- a/oakbridge/node/discovery_http.py
+++ b/oakbridge/node/discovery_http.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+from dataclasses import dataclass
 from typing import Any
 
 import httptools
@@ -19,13 +20,23 @@
 
 MAX_LIST_BYTES = 4 * 1024 * 1024
 READ_BYTES = 64 * 1024
+STALL_TIMEOUT_S = 0.5  # between two parts of a response
 CONNECT_RETRY_S = 0.02  # after a connection that failed on this machine
 
 
+@dataclass(frozen=True, slots=True)
+class PollResponse:
+    """What discovery responded with; ``begun_at``: when its first byte came, in the loop's time."""
+
+    list: EndpointList
+    begun_at: float
+
+
 class _Response:
     """Collects a response; httptools calls the ``on_`` methods."""
 
     def __init__(self) -> None:
+        self.begun_at = 0.0
         self.parser: Any = httptools.HttpResponseParser(self)
         self.body = bytearray()
         self.status = 0
@@ -39,8 +50,8 @@
         self.complete = self.status >= 200
 
 
-async def poll(address: Address, path: str, timeout_s: float) -> EndpointList:
-    """Return the list that discovery responds with; raise EndpointListError, OSError (also TimeoutError).
+async def poll(address: Address, path: str, timeout_s: float) -> PollResponse:
+    """Return what discovery responds with; raise EndpointListError, OSError (also TimeoutError).
 
     Guards against a kept connection that discovery has just closed, which looks like a broken
     watch.
@@ -57,9 +68,10 @@
     if response.status != 200:
         raise EndpointListError(f"discovery answered {response.status}")
     try:
-        return parse_endpoint_list(json.loads(bytes(response.body)))
+        new = parse_endpoint_list(json.loads(bytes(response.body)))
     except (ValueError, RecursionError) as e:
         raise EndpointListError(str(e) or "not JSON") from None
+    return PollResponse(new, response.begun_at)
 
 
 async def _connect(address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -81,11 +93,17 @@
 
 
 async def _read_response(reader: asyncio.StreamReader) -> _Response:
+    """Read a response; once it has begun, it may not stop for long.
+
+    A node that waited for the rest until the end of its watch would learn of a change too late.
+    """
     response = _Response()
     while not response.complete:
-        data = await reader.read(READ_BYTES)
+        async with asyncio.timeout(STALL_TIMEOUT_S if response.begun_at else None):
+            data = await reader.read(READ_BYTES)
         if not data:
             raise EndpointListError("the connection ended before the answer did")
+        response.begun_at = response.begun_at or asyncio.get_running_loop().time()
         try:
             response.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
--- a/oakbridge/node/endpoint_source.py
+++ b/oakbridge/node/endpoint_source.py
@@ -17,12 +17,6 @@
     def on_endpoint_list(self, new: EndpointList, *, saved: bool = False) -> None:
         """Apply a list from now on; ``saved``: it was kept from an earlier process, and may be old."""
 
-    def on_poll_failed(self, waited: int = 0, stale: int = 0) -> None:
-        """Keep the list: a poll failed that waited so many microseconds, or (0) a watch broke.
-
-        ``stale``: how many microseconds ago the list was last known to be up to date.
-        """
-
 
 class EndpointSource(Protocol):
     """Calls a listener with endpoint lists."""
--- a/oakbridge/node/endpoint_updates.py
+++ b/oakbridge/node/endpoint_updates.py
@@ -75,10 +75,6 @@
         """Have the balancer make records ahead for what the next list names; nothing is sent there yet."""
         self._dispatcher.post(EndpointsAnnounced([endpoint.server for endpoint in endpoints]))
 
-    def on_poll_failed(self, waited: int = 0, stale: int = 0) -> None:
-        """Tell the balancer that a poll failed; the list stays as it is."""
-        self._dispatcher.post(EndpointListReceived(failed=True, waited=waited, staleness=stale))
-
     def add_front(self, front: Front) -> None:
         """Have another front on the same balancer; it hears of the servers that are listed now."""
         self._dispatcher.fronts.append(front)
--- a/oakbridge/node/errors.py
+++ b/oakbridge/node/errors.py
@@ -13,3 +13,7 @@
 
 class EndpointListError(ValueError):
     """A list of servers that can't be used."""
+
+
+class OutdatedListError(EndpointListError):
+    """Changes of a list from before the version that they were asked for."""
--- a/oakbridge/peers/node_adapter.py
+++ b/oakbridge/peers/node_adapter.py
@@ -50,6 +50,3 @@
         """Join by these from now on."""
         new.apply_to(self._endpoints)
         self._service.set_seeds([endpoint.address for endpoint in self._endpoints.values()])
-
-    def on_poll_failed(self, waited: int = 0, stale: int = 0) -> None:
-        """Go on with what is known while the file can't be read."""
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -46,6 +46,7 @@
         self.in_flight_in_other_process = 0  # in the other process of this node
         self.reviewed_at = 0
         self.must_poll = settings.poll_discovery
+        self._poll_is_due = False  # a timer is out: a second one would poll as often again
         self._resuming = False
         self._actions: list[actions.Action] = []
         # Inner tiers leave time for their callers, also when requests carry no time left.
@@ -112,7 +113,13 @@
         self._actions.append(actions.SetTimer(delay, token))
 
     def _poll_after(self, now: int, delay: float) -> None:
-        self.timers.call_later(now, delay, lambda _: self._actions.append(actions.WatchEndpoints()))
+        if not self._poll_is_due:
+            self._poll_is_due = True
+            self.timers.call_later(now, delay, self._poll)
+
+    def _poll(self, _: int) -> None:
+        self._poll_is_due = False
+        self._actions.append(actions.WatchEndpoints())
 
     def _on_endpoint_list(self, now: int, event: events.EndpointListReceived) -> None:
         if event.failed:
--- a/oakbridge/policy/endpoint_reconciler.py
+++ b/oakbridge/policy/endpoint_reconciler.py
@@ -4,19 +4,12 @@
 from dataclasses import dataclass, field
 
 from oakbridge.policy import events
+from oakbridge.policy.poll_backoff import poll_backoff
 from oakbridge.policy.records import Server
 from oakbridge.policy.settings import Settings, WeightSource
 from oakbridge.policy.slow_start import SlowStart
 from oakbridge.policy.subset import Subset
-from oakbridge.policy.timers import SECOND_US
 
-# News counts as told after TOLD_US, whatever failed.  All replicas may lose discovery at once: it
-# works off polls in turn.  One that stood in line in vain cost it as much as an answer: made again
-# so long after it began.  One rejected AT_ONCE_US found a full line: younger lists stand back.
-TOLD_US = 6 * SECOND_US
-AT_ONCE_US = SECOND_US // 4
-REPOLL_MIN_S = 3.0
-REPOLL_MAX_S = 5.0
 STEADY_WEIGHTS = WeightSource.NOMINAL, WeightSource.ROUGH  # live ones echo what replicas did
 
 
@@ -36,11 +29,8 @@
 
     def poll_delay(self, event: events.EndpointListReceived) -> float:
         """Return when to poll again, in microseconds, after a poll failed."""
-        scale, stale = min(1.0, self.settings.poll_interval / TOLD_US), event.staleness / SECOND_US
-        earliest, latest = max(0.3, 2.5 - stale if event.waited else 0.0), max(1.0, 4.5 - stale)
-        if event.waited >= AT_ONCE_US:
-            earliest, latest = REPOLL_MIN_S, REPOLL_MAX_S
-        return scale * SECOND_US * self.random.uniform(earliest, latest) - event.waited
+        interval = self.settings.poll_interval
+        return poll_backoff(self.random, interval, event.waited, event.staleness)
 
     def apply(self, event: events.EndpointListReceived, now: int) -> None:
         """Keep to the list at once: what drains or is gone gets nothing more."""
