Share endpoint lists between the two processes of a hand-over; soak moves of discovery

Cause: what one process of a node was told counts as told to the node, but the other one learned it by a call of its own, and a successor went on from the list of the welcome.

Change: TakeOver carries the list and its age, and while both processes run each sends the other what it reads (EndpointListUpdate), where both releases say that they take it.

The soak plays reloads in series that move discovery (the address before serves, closes or falls silent), answers that are lost or stop half-way, a crowded queue, lists that are asked for or pushed, and drains that outlast the 6 s. Its servers, discovery and the terms of what counts as told are modules of their own.

--- a/benchmarks/faults/discovery_standin.py
+++ b/benchmarks/faults/discovery_standin.py
@@ -114,6 +114,7 @@
         self.moved_at: list[float] = []
         self.moved_address = MovedAddress.SERVES
         self.calls: list[float] = []  # when each came
+        self.unsure_until = 0.0  # the node's own end may break: answers may not arrive
         self._queue = queue
         self._listeners: list[asyncio.Server] = []
         self._current: asyncio.Server | None = None
@@ -166,7 +167,10 @@
         self.fault_times[-1] = (self.fault_times[-1][0], time.monotonic())
 
     def on_node_started(self) -> None:
-        """Note that a new process runs, which has been told nothing."""
+        """Note that a new process runs, which has been told nothing.
+
+        One that takes over is the same node: what either process was told counts for both.
+        """
         self.runs.append(NodeRun(time.monotonic()))
 
     async def _listen(self) -> asyncio.Server:
@@ -199,6 +203,8 @@
             return
         if since is not None:
             await self.published.wait_for_change(since, timeout_s)
+        if writer.is_closing() or reader.at_eof():
+            return  # nobody is there who could be told
         is_silent = server is not self._current and self.moved_address is MovedAddress.SILENT
         await self._answer(reader, writer, run, AnswerFault.LOST if is_silent else self.fault)
 
@@ -213,8 +219,10 @@
         if fault is AnswerFault.NONE:
             writer.write(answer)
             self._answered_at = time.monotonic()
-            for version in range(self.published.index + 1):
-                run.written_at.setdefault(version, self._answered_at)
+            # Where calls stand in a queue, one that broke at the node can't be made again at once.
+            if self._queue is None or self._answered_at > self.unsure_until:
+                for version in range(self.published.index + 1):
+                    run.written_at.setdefault(version, self._answered_at)
             return
         if fault is AnswerFault.HALF:
             writer.write(answer[: len(answer) // 2])
--- a/benchmarks/faults/soak.py
+++ b/benchmarks/faults/soak.py
@@ -10,11 +10,9 @@
 import argparse
 import asyncio
 import errno
-import json
 import os
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -24,19 +22,27 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from discovery_standin import AnswerFault, MovedAddress, NodeDiscovery, RequestQueue
 from fault_control import Fault
 from node_process import NodeProcess, node_settings
-from peers import endpoint, free_ports, listing, read_message, reply, soon
+from peers import soon
 from soak_clients import Client, SentRequest, SoakNode, hold_crowd
-from soak_rules import Findings, Told, check, read_attempts
+from soak_rules import Findings, check, read_attempts
+from soak_servers import SoakServers
+from soak_told import told_of_drains
 
-SERVER_PROGRAM = Path(__file__).with_name("soak_server.py")
 LONGEST_DEADLINE_S = 2.0  # of the classes
 KILL_AFTER_S = LONGEST_DEADLINE_S + 0.7  # after SIGTERM: the earliest that the rules allow
-TOLD_S = 6.0  # after which a change counts as told, whether or not it arrived
 WALL_CLOCK_STEPS_S = (-3600, 0, 3600)
 CROWD_SIZE, CROWD_S = 160, 2.0
 MAX_HOLD_UP_S = 0.12  # a process may be held up so long
+# Discovery can't be reached for so long at most, and then can for so long at least.
+MAX_UNREACHABLE_S, MIN_REACHABLE_S = 2.9, 4.0
+ANSWER_S, REFUSAL_S = 0.15, 0.006  # of discovery that is asked by all nodes, in some runs
+LONG_DRAIN_S = (6.8, 8.5)  # past the time at which a change counts as told
+SHORT_DRAIN_S = (1.0, 2.0)
+# Faults after which an answer that discovery has written may not have arrived.
+BREAKS_ANSWERS = (Fault.SEND, Fault.RECEIVE, Fault.CONNECT, Fault.SOCKET)
 
 # Each fault, the errors that Linux documents for it, and the share of calls that fail.
 FAULTS: tuple[tuple[Fault, tuple[int, ...], int], ...] = (
@@ -64,163 +70,17 @@
     outcomes: Counter[str]
     injected: Counter[str]
     attempts: int
+    mode: str  # of discovery
 
     def __str__(self) -> str:
         """Return one line, and one for each rule that was broken."""
         outcomes = ", ".join(f"{k} {v}" for k, v in sorted(self.outcomes.items()))
         injected = ", ".join(f"{k} {v}" for k, v in sorted(self.injected.items()))
-        line = f"seed {self.seed}: {outcomes}; {self.attempts} attempts; injected: {injected}"
+        line = f"seed {self.seed}, lists {self.mode}: {outcomes}; {self.attempts} attempts"
+        line += f"; injected: {injected}"
         return f"{line}\n{self.findings}" if self.findings.by_rule else f"{line}; rules kept"
 
 
-@dataclass(slots=True)
-class NodeRun:
-    """One process of a node: from when it ran, and when it was told of each version of the list."""
-
-    started_at: float
-    written_at: dict[int, float] = field(default_factory=dict)
-
-
-class NodeDiscovery:
-    """Discovery as one node sees it: the shared list, and when its processes were told of it."""
-
-    def __init__(self, fleet: SoakServers) -> None:
-        self._fleet = fleet
-        self.runs = [NodeRun(time.monotonic())]
-        self.port = 0
-
-    def on_node_started(self) -> None:
-        """Note that a new process runs, which has been told nothing."""
-        self.runs.append(NodeRun(time.monotonic()))
-
-    async def start(self) -> asyncio.Server:
-        """Listen."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return server
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        run = self.runs[-1]  # a call of a process that was killed tells the next one nothing
-        try:
-            first, _, _ = await read_message(reader)
-            since, timeout_s = _watch_of(first.split(" ")[1])
-            if since is not None:
-                await self._fleet.wait_for_change(since, timeout_s)
-            index = self._fleet.index
-            writer.write(reply(200, json.dumps(self._fleet.listing()).encode()))
-            now = time.monotonic()
-            for version in range(index + 1):
-                run.written_at.setdefault(version, now)
-        except (OSError, EOFError, asyncio.CancelledError):
-            pass  # the node is gone, or the run has ended
-        finally:
-            writer.close()
-
-
-def _watch_of(target: str) -> tuple[int | None, float]:
-    query = target.partition("?")[2]
-    if not query:
-        return None, 0.0
-    values = dict(part.split("=") for part in query.split("&"))
-    return int(values["since"]), int(values["timeout_ms"]) / 1000
-
-
-class SoakServers:
-    """The servers' processes, and what discovery has to tell of them."""
-
-    def __init__(self, folder: Path, count: int, seed: int) -> None:
-        self.index = 1
-        self.pushed = False  # whether discovery is an agent, to which lists are pushed
-        self.names = [f"s-{number}" for number in range(count)]
-        self.ports = dict(zip(self.names, free_ports(count), strict=True))
-        self.logs = [folder / f"{name}.jsonl" for name in self.names]
-        self.drains: list[tuple[str, int, float]] = []  # name, version, when it was published
-        self.kills: dict[str, list[float]] = {name: [] for name in self.names}
-        self.returns: dict[tuple[str, int], float] = {}  # when a drain of that version ended
-        self._folder, self._seed = folder, seed
-        self._draining: dict[str, int] = {}
-        self._since_ms = dict.fromkeys(self.names, 0)
-        self._changed = asyncio.Event()
-        self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        for name in self.names:
-            self.start(name)
-
-    def start(self, name: str) -> None:
-        """Start a server's process."""
-        number = self.names.index(name)
-        log = self.logs[number]
-        log.touch()
-        command = [sys.executable, SERVER_PROGRAM, self.ports[name], self._seed * 100 + number, log]
-        self._processes[name] = subprocess.Popen([str(word) for word in command])
-
-    def listing(self) -> dict:
-        """Return the whole list, in discovery's form."""
-        entries = [
-            endpoint(
-                name,
-                self.ports[name],
-                "draining" if name in self._draining else "ready",
-                self._since_ms[name],
-            )
-            for name in self.names
-        ]
-        return listing(self.index, *entries)
-
-    async def wait_for_change(self, since: int, timeout_s: float) -> None:
-        """Wait until there is something newer than a version, or for so long."""
-        if since < self.index and since >= 0:
-            return
-        if since < 0:
-            return
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._changed.wait()
-        except TimeoutError:
-            pass
-
-    def drain(self, name: str) -> None:
-        """Have a server drain."""
-        self._draining[name] = self.index + 1
-        self._publish()
-        self.drains.append((name, self.index, time.monotonic()))
-
-    def restart(self, name: str) -> None:
-        """Kill a server that drains, and have it back, cold."""
-        self._processes[name].kill()
-        self._processes[name].wait()
-        self.kills[name].append(time.monotonic())
-        self.start(name)
-        self._since_ms[name] = int(time.time() * 1000)
-        self.returns[name, self._draining.pop(name)] = time.monotonic()
-        self._publish()
-
-    def _publish(self) -> None:
-        self.index += 1
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
-
-    def told(self, node: int, discovery: NodeDiscovery) -> list[Told]:
-        """Return when a node was told of each drain."""
-        found = []
-        for name, version, published_at in self.drains:
-            returned_at = self.returns.get((name, version), float("inf"))
-            ends = [run.started_at for run in discovery.runs[1:]] + [float("inf")]
-            for run, ended_at in zip(discovery.runs, ends, strict=True):
-                had_at = max(published_at, run.started_at)
-                told_by = had_at + TOLD_S
-                since = min(run.written_at.get(version, told_by), told_by)
-                if self.pushed:  # what the agent has counts as told, whether or not it is asked
-                    since = had_at
-                found.append(Told(node, name, since, min(returned_at, ended_at)))
-        return found
-
-    def close(self) -> None:
-        """Kill all processes."""
-        for process in self._processes.values():
-            process.kill()
-            process.wait()
-
-
 @dataclass(slots=True)
 class Soak:
     """One run: its processes, its clients, and the schedules of its faults."""
@@ -231,16 +91,24 @@
     requests: list[SentRequest] = field(default_factory=list)
     nodes: list[SoakNode] = field(default_factory=list)
     findings: Findings = field(default_factory=Findings)
+    pushed: bool = False  # whether discovery is an agent, to which lists are pushed
     _discoveries: list[NodeDiscovery] = field(default_factory=list)
+    _queue: RequestQueue | None = None  # of discovery that is asked
     _ends_at: float = 0.0
 
     async def run(self) -> SoakResult:
         """Play the run, and check what clients and servers saw."""
         draw = random.Random(self.seed)
         servers = SoakServers(self.folder, draw.randint(5, 8), self.seed)
-        discoveries = [NodeDiscovery(servers) for _ in range(draw.randint(4, 6))]
+        self.pushed = draw.random() < 0.5
+        if not self.pushed and draw.random() < 0.6:
+            self._queue = RequestQueue(ANSWER_S, REFUSAL_S)
+        discoveries = [
+            NodeDiscovery(servers.published, self._queue) for _ in range(draw.randint(4, 6))
+        ]
         self._discoveries = discoveries
-        listeners = [await discovery.start() for discovery in discoveries]
+        for discovery in discoveries:
+            await discovery.start()
         try:
             await self._start_nodes(draw, servers, discoveries)
             self._ends_at = time.monotonic() + self.seconds
@@ -248,11 +116,15 @@
         finally:
             for node in self.nodes:
                 await node.process.stop()
-            for listener in listeners:
-                listener.close()
+            for discovery in discoveries:
+                discovery.close()
             servers.close()
         attempts = read_attempts(servers.logs, servers.kills)
-        told = [t for n, d in enumerate(discoveries) for t in servers.told(n, d)]
+        told = [
+            told
+            for number, discovery in enumerate(discoveries)
+            for told in told_of_drains(number, discovery, servers.drains, pushed=self.pushed)
+        ]
         found = check(self.requests, attempts, told)
         for rule, texts in found.by_rule.items():
             self.findings.by_rule[rule] += texts
@@ -264,13 +136,20 @@
             Counter(request.outcome.value for request in self.requests),
             self._injected(),
             sum(map(len, attempts.values())),
+            self._mode(),
         )
 
+    def _mode(self) -> str:
+        if self.pushed:
+            return "pushed"
+        return "asked" if self._queue is None else "asked of a queue"
+
     async def _start_nodes(
         self, draw: random.Random, servers: SoakServers, discoveries: list[NodeDiscovery]
     ) -> None:
-        servers.pushed, cancelling = draw.random() < 0.5, draw.random() < 0.7
-        settings = node_settings(discovery="pushed" if servers.pushed else "on_request")
+        cancelling = draw.random() < 0.7
+        settings = node_settings(discovery="pushed" if self.pushed else "on_request")
+        settings["invariants"] |= {"ask-within": draw.choice((4_000_000, 10_000_000))}
         settings["allowed"] = settings["allowed"] | {
             "cancelling": cancelling,
             "conn-idle": draw.choice((1_000_000, 30_000_000)),
@@ -298,10 +177,12 @@
         schedules = [self._change_servers(servers, random.Random(draw.getrandbits(32)))]
         for node in self.nodes:
             # Two faults of a node at a time.
-            of_node = (self._inject, self._inject, self._restart, self._hold_up)
+            of_node = (self._inject, self._inject, self._restart, self._hold_up, self._reload)
             schedules += [one(node, random.Random(draw.getrandbits(32))) for one in of_node]
         if draw.random() < 0.4:
             schedules.append(self._crowd(random.Random(draw.getrandbits(32))))
+        if draw.random() < 0.8:
+            schedules.append(self._trouble_discovery(random.Random(draw.getrandbits(32))))
         tasks = [asyncio.create_task(schedule) for schedule in schedules]
         try:
             async with asyncio.timeout(self.seconds + 30):
@@ -324,6 +205,8 @@
         while self._left_s() > 1.5:
             await asyncio.sleep(draw.uniform(0.1, 0.8))
             fault, errors, percent = draw.choice(FAULTS)
+            discovery = self._discoveries[node.number]
+            discovery.unsure_until = time.monotonic() + 1.0 if fault in BREAKS_ANSWERS else 0.0
             node.process.faults.start(fault, draw.choice(errors), percent)
             if draw.random() < 0.2:
                 node.process.faults.step_wall_clock(draw.choice(WALL_CLOCK_STEPS_S))
@@ -368,9 +251,10 @@
         """Start a process beside the one that runs, which it takes over, and end that one."""
         previous = node.process.process
         assert previous is not None
-        self._discoveries[node.number].on_node_started()
+        node.is_starting = True
         await node.process.start(wait=False)
         await asyncio.sleep(draw.uniform(0.6, 1.5))  # sockets may be short at its start
+        node.is_starting = False
         terminated_at = time.monotonic()
         for number in (signal.SIGTERM, *draw.choices((signal.SIGHUP, signal.SIGTERM), k=1)):
             self._signal_process(previous, number)
@@ -412,9 +296,43 @@
             await asyncio.sleep(draw.uniform(0.5, 2.0))
             name = draw.choice(servers.names)
             servers.drain(name)
-            await asyncio.sleep(draw.uniform(1.0, 2.0))
+            drain_s = draw.uniform(*draw.choice((SHORT_DRAIN_S, LONG_DRAIN_S)))
+            await asyncio.sleep(min(drain_s, max(0.0, self._left_s() - 0.5)))
             servers.restart(name)
 
+    async def _reload(self, node: SoakNode, draw: random.Random) -> None:
+        """Have configurations in series move discovery for a node."""
+        discovery = self._discoveries[node.number]
+        while self._left_s() > 2.0:
+            await asyncio.sleep(draw.uniform(0.5, 5.0))
+            for _ in range(draw.randint(1, 4)):
+                await asyncio.sleep(draw.uniform(0.1, 0.9))
+                if node.is_up and not node.is_starting:
+                    discovery.moved_address = draw.choice(list(MovedAddress))
+                    port = await discovery.move()
+                    node.process.reconfigure(discovery=f"127.0.0.1:{port}")
+                    self._signal(node, signal.SIGHUP)
+
+    async def _trouble_discovery(self, draw: random.Random) -> None:
+        """Have answers of discovery be lost or stop half-way for some nodes, or others crowd it."""
+        while self._left_s() > MAX_UNREACHABLE_S:
+            await asyncio.sleep(draw.uniform(0.2, 1.5))
+            seconds = draw.uniform(0.5, MAX_UNREACHABLE_S)
+            if self._queue is not None and draw.random() < 0.5:
+                self._queue.fill(seconds)
+                await asyncio.sleep(seconds)
+            else:
+                await self._lose_answers(draw, seconds)
+            await asyncio.sleep(draw.uniform(MIN_REACHABLE_S, MIN_REACHABLE_S + 2.0))
+
+    async def _lose_answers(self, draw: random.Random, seconds: float) -> None:
+        discoveries = draw.sample(self._discoveries, draw.randint(1, len(self._discoveries)))
+        for discovery in discoveries:
+            discovery.start_fault(draw.choice((AnswerFault.LOST, AnswerFault.HALF)))
+        await asyncio.sleep(seconds)
+        for discovery in discoveries:
+            discovery.stop_fault()
+
     async def _crowd(self, draw: random.Random) -> None:
         while self._left_s() > CROWD_S + 1.0:
             await asyncio.sleep(draw.uniform(0.3, 1.5))
--- a/benchmarks/faults/soak_clients.py
+++ b/benchmarks/faults/soak_clients.py
@@ -59,6 +59,7 @@
     ending_since: float | None = None  # SIGTERM
     is_up: bool = True
     has_crowd: bool = False
+    is_starting: bool = False  # a second process, which can't take signals yet
 
     def takes_new_connections(self) -> bool:
         """Return whether the front would still send a new client here."""
--- a/benchmarks/faults/soak_rules.py
+++ b/benchmarks/faults/soak_rules.py
@@ -43,6 +43,7 @@
     server: str
     since: float
     until: float
+    published_at: float = 0.0  # when discovery had it
 
 
 @dataclass(slots=True)
@@ -112,7 +113,12 @@
             for drain in drains[request.node, attempt.server]:
                 if drain.since + DRAIN_S + HELD_UP_S < attempt.began_at < drain.until:
                     late_s = attempt.began_at - drain.since
-                    findings.add("drain", f"{request.request_id} {late_s:.3f} s after the news")
+                    had_s = attempt.began_at - drain.published_at
+                    text = (
+                        f"{request.request_id} to {attempt.server} at {attempt.began_at:.3f}"
+                        f" {late_s:.3f} s after the news, which discovery had for {had_s:.3f} s"
+                    )
+                    findings.add("drain", text)
     return findings
 
 
--- a/oakbridge/handover/actions.py
+++ b/oakbridge/handover/actions.py
@@ -4,7 +4,14 @@
 
 from dataclasses import dataclass
 
-from oakbridge.handover.messages import Message, OperatorCommand, RemainingLoad, TakeOver, Welcome
+from oakbridge.handover.messages import (
+    EndpointListUpdate,
+    Message,
+    OperatorCommand,
+    RemainingLoad,
+    TakeOver,
+    Welcome,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,11 +64,18 @@
     command: OperatorCommand
 
 
+@dataclass(frozen=True, slots=True)
+class ApplyEndpointList:
+    """Use a list that the other process has read."""
+
+    update: EndpointListUpdate
+
+
 @dataclass(frozen=True, slots=True)
 class Disconnect:
     """Close the connection to the other process."""
 
 
-CommonAction = Send | ApplyCommand | Disconnect
+CommonAction = Send | ApplyCommand | ApplyEndpointList | Disconnect
 PredecessorAction = CommonAction | SendWelcome | DrainToSuccessor | ResumeServing
 SuccessorAction = CommonAction | BuildNode | StartServing | ReserveForPredecessor
--- a/oakbridge/handover/messages.py
+++ b/oakbridge/handover/messages.py
@@ -23,6 +23,7 @@
     """Successor to predecessor: ask to take over the node of this name."""
 
     node_name: str
+    shares_lists: bool | None = None  # whether it takes, and sends, EndpointListUpdate
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +37,7 @@
     # The node's clock less the monotonic clock, in microseconds: all times in what is handed over
     # are of that clock.  None: a release that did not tell.
     clock_offset: int | None = None
+    shares_lists: bool | None = None  # as in Hello
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,14 @@
     list_age: int | None = None  # since it was known to be up to date, in microseconds
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointListUpdate:
+    """Either way: the list as this process has just read it; both are one node, which was told."""
+
+    endpoint_list: JsonObject  # complete, in the form that discovery gives it
+    list_age: int | None  # since it was known to be up to date, in microseconds; None: unknown
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorCommand:
     """Either way: carry out an operator's command that came in at the other process."""
@@ -82,10 +92,16 @@
     """Predecessor to successor: an idle connection of a client, whose descriptor is sent along."""
 
 
-SuccessorMessage = Hello | Ready | OperatorCommand
+SuccessorMessage = Hello | Ready | OperatorCommand | EndpointListUpdate
 PredecessorMessage = (
-    Welcome | Decline | TakeOver | OperatorCommand | RemainingLoad | ClientConnection
-)  # fmt: skip
+    Welcome
+    | Decline
+    | TakeOver
+    | OperatorCommand
+    | RemainingLoad
+    | ClientConnection
+    | EndpointListUpdate
+)
 Message = SuccessorMessage | PredecessorMessage
 
 
@@ -109,7 +125,14 @@
 
 
 _FORMATS = (
-    _Format("hello", Hello, (_Field("node_name", "name", str),)),
+    _Format(
+        "hello",
+        Hello,
+        (
+            _Field("node_name", "name", str),
+            _Field("shares_lists", "lists", bool, is_optional=True),
+        ),
+    ),
     _Format(
         "welcome",
         Welcome,
@@ -119,6 +142,7 @@
             _Field("outages", "outages", dict),
             _Field("draining", "draining", bool),
             _Field("clock_offset", "clock", int, is_optional=True),
+            _Field("shares_lists", "lists", bool, is_optional=True),
         ),
     ),
     _Format("decline", Decline, (_Field("reason", "why", str),)),
@@ -132,6 +156,14 @@
             _Field("list_age", "age", int, is_optional=True),
         ),
     ),
+    _Format(
+        "list",
+        EndpointListUpdate,
+        (
+            _Field("endpoint_list", "known", dict),
+            _Field("list_age", "age", int, is_optional=True),
+        ),
+    ),
     _Format(
         "call",
         OperatorCommand,
--- a/oakbridge/handover/predecessor.py
+++ b/oakbridge/handover/predecessor.py
@@ -11,6 +11,7 @@
 
 from oakbridge.handover.actions import (
     ApplyCommand,
+    ApplyEndpointList,
     Disconnect,
     DrainToSuccessor,
     PredecessorAction,
@@ -28,6 +29,7 @@
     TakeOver,
     Welcome,
 )
+from oakbridge.handover.shared_lists import SharedLists
 from oakbridge.handover.state_machine import (
     HAS_SUCCESSOR,
     PredecessorState,
@@ -36,7 +38,6 @@
 from oakbridge.handover.unix_socket import UnixListener
 from oakbridge.node.accepting import ACCEPT_RETRY_US, AcceptStatus
 from oakbridge.node.discovery import DiscoverySource
-from oakbridge.node.endpoint_list_json import encode_endpoint_list
 from oakbridge.node.node import Node
 from oakbridge.policy import state as policy_state
 
@@ -61,6 +62,7 @@
         self._machine = PredecessorStateMachine(node.config.name)
         self._listener: UnixListener | None = None
         self._channel: Channel | None = None  # to the successor, or to a process that asks to be it
+        self._lists = SharedLists(node, lambda: self._machine.relays_lists, self._send)
 
     def listen(self) -> None:
         """Listen for a successor.
@@ -136,6 +138,8 @@
                     self._drain_to_successor()
                 case ResumeServing():
                     self._resume_serving()
+                case ApplyEndpointList():
+                    self._lists.apply(action.update)
                 case ApplyCommand():
                     self._apply_command(action.command.verb, action.command.server_id)
                 case Disconnect():
@@ -151,13 +155,13 @@
 
     def _send_welcome(self) -> None:
         node = self._node
-        index = node.source.index if isinstance(node.source, DiscoverySource) else None
         welcome = Welcome(
             configuration=node.config.raw,
-            endpoint_list=encode_endpoint_list(index or 0, node.endpoints.current()),
+            endpoint_list=self._lists.update().endpoint_list,
             outages=node.outages.saved(),
             draining=node.server.lifecycle.draining,
             clock_offset=node.clock.offset,
+            shares_lists=True,
         )
         try:
             descriptors = node.server.listener.duplicate_descriptors()
@@ -186,11 +190,8 @@
         learned = policy_state.save(node.balancer, node.clock.now())
         if not isinstance(node.source, DiscoverySource):
             return TakeOver(learned)
-        return TakeOver(
-            learned,
-            endpoint_list=encode_endpoint_list(node.source.index, node.endpoints.current()),
-            list_age=node.source.list_age_us(),
-        )
+        update = self._lists.update()
+        return TakeOver(learned, update.endpoint_list, update.list_age)
 
     def _migrate_connection(self, descriptor: int) -> bool:
         """Send an idle client connection to the successor; False if that is gone."""
--- a/oakbridge/handover/state_machine.py
+++ b/oakbridge/handover/state_machine.py
@@ -12,6 +12,7 @@
 
 from oakbridge.handover.actions import (
     ApplyCommand,
+    ApplyEndpointList,
     BuildNode,
     Disconnect,
     DrainToSuccessor,
@@ -25,6 +26,7 @@
 )
 from oakbridge.handover.messages import (
     Decline,
+    EndpointListUpdate,
     Hello,
     Message,
     OperatorCommand,
@@ -55,6 +57,7 @@
         self.node_name = node_name
         self.state = PredecessorState.SERVING
         self.shutting_down = False
+        self._successor_shares_lists = False
 
     def receive(self, message: Message) -> list[PredecessorAction]:
         """Handle a message of the successor, or of a process that asks to become it."""
@@ -66,6 +69,8 @@
                 return [DrainToSuccessor()]
             case OperatorCommand() if self.relays_commands:
                 return [ApplyCommand(message)]
+            case EndpointListUpdate() if self.relays_lists:
+                return [ApplyEndpointList(message)]
             case _:
                 reason = f"{wire_kind(message)} is not expected now"
                 return [Send(Decline(reason)), *self.disconnected()]
@@ -75,6 +80,7 @@
         if reason is not None:
             return [Send(Decline(reason)), Disconnect()]
         self.state = PredecessorState.SUCCESSOR_STARTING
+        self._successor_shares_lists = bool(hello.shares_lists)
         return [SendWelcome()]
 
     def _reason_to_decline(self, hello: Hello) -> str | None:
@@ -103,6 +109,11 @@
         """Whether operators' commands have to be carried out in the successor too."""
         return self.state is not PredecessorState.SERVING
 
+    @property
+    def relays_lists(self) -> bool:
+        """Whether lists that are read have to be used by both processes."""
+        return self.state is PredecessorState.DRAINING and self._successor_shares_lists
+
 
 class SuccessorState(Enum):
     """The state of the process that was started, beside another one or alone."""
@@ -120,16 +131,18 @@
         self.node_name = node_name
         self.state = SuccessorState.CONNECTING
         self.has_predecessor = True  # until the contrary is known
+        self._predecessor_shares_lists = False
 
     def connected(self) -> list[SuccessorAction]:
         """Handle that a predecessor was found."""
-        return [Send(Hello(self.node_name))]
+        return [Send(Hello(self.node_name, shares_lists=True))]
 
     def receive(self, message: Message) -> list[SuccessorAction]:
         """Handle a message of the predecessor; one that declines is done without."""
         match message:
             case Welcome() if self.state is SuccessorState.CONNECTING:
                 self.state = SuccessorState.BUILDING
+                self._predecessor_shares_lists = bool(message.shares_lists)
                 return [BuildNode(message)]
             case TakeOver() if self.state is SuccessorState.TAKING_OVER:
                 self.state = SuccessorState.SERVING
@@ -138,6 +151,8 @@
                 return [ReserveForPredecessor(message)]
             case OperatorCommand() if self.state is not SuccessorState.CONNECTING:
                 return [ApplyCommand(message)]
+            case EndpointListUpdate() if self.relays_lists:
+                return [ApplyEndpointList(message)]
             case _:
                 return self.disconnected()
 
@@ -172,3 +187,9 @@
     def relays_commands(self) -> bool:
         """Whether operators' commands have to be carried out in the predecessor too."""
         return self.has_predecessor and self.state is not SuccessorState.CONNECTING
+
+    @property
+    def relays_lists(self) -> bool:
+        """Whether lists that are read have to be used by both processes."""
+        is_serving = self.state is SuccessorState.SERVING
+        return is_serving and self.has_predecessor and self._predecessor_shares_lists
--- a/oakbridge/handover/successor.py
+++ b/oakbridge/handover/successor.py
@@ -11,6 +11,7 @@
 
 from oakbridge.handover.actions import (
     ApplyCommand,
+    ApplyEndpointList,
     BuildNode,
     Disconnect,
     ReserveForPredecessor,
@@ -21,6 +22,7 @@
 from oakbridge.handover.channel import Channel
 from oakbridge.handover.messages import (
     ClientConnection,
+    EndpointListUpdate,
     JsonObject,
     Message,
     OperatorCommand,
@@ -28,11 +30,9 @@
     TakeOver,
     Welcome,
 )
+from oakbridge.handover.shared_lists import SharedLists
 from oakbridge.handover.state_machine import SuccessorState, SuccessorStateMachine
 from oakbridge.handover.unix_socket import connect
-from oakbridge.node.discovery import DiscoverySource
-from oakbridge.node.endpoint_list_json import parse_endpoint_list
-from oakbridge.node.errors import EndpointListError
 from oakbridge.node.node import Node
 from oakbridge.policy import state as policy_state
 from oakbridge.policy.events import InFlightInOtherProcess
@@ -60,6 +60,7 @@
         self._progress = asyncio.Event()  # set after each event that may have changed the state
         self._channel: Channel | None = None
         self._node: Node | None = None
+        self._lists: SharedLists | None = None
         self._apply_command: Callable[[str, str], None] | None = None
         self._early_commands: list[OperatorCommand] = []  # received before the node was there
         self._early_connections: list[socket.socket] = []  # received before it served
@@ -80,6 +81,7 @@
         ``apply_command`` carries out an operator's command, given its verb and the server it names.
         """
         self._node = node
+        self._lists = SharedLists(node, lambda: self._machine.relays_lists, self._send)
         self._apply_command = apply_command
         for command in self._early_commands:
             apply_command(command.verb, command.server_id)
@@ -143,6 +145,9 @@
                     self._start_serving(action.predecessor)
                 case ReserveForPredecessor():
                     self._reserve_for_predecessor(action.load)
+                case ApplyEndpointList():
+                    if self._lists is not None:
+                        self._lists.apply(action.update)
                 case ApplyCommand():
                     self._apply(action.command)
                 case Disconnect():
@@ -181,27 +186,15 @@
             node.server.admit(sock)
         self._early_connections = []
 
-    @staticmethod
-    def _take_over_list(node: Node, predecessor: TakeOver) -> None:
+    def _take_over_list(self, node: Node, predecessor: TakeOver) -> None:
         """Go on from the predecessor's list, which may be newer than the one of its welcome.
 
         The list's age goes on too: a bound that began anew with each process would not be one.
         """
-        source = node.source
-        if not isinstance(source, DiscoverySource):
-            if node.settings.poll_discovery:
-                source.watch(True)
-            return
-        try:
-            if predecessor.endpoint_list is not None:
-                known = parse_endpoint_list(predecessor.endpoint_list)
-                if not source.has_list or known.index > source.index:
-                    node.endpoints.on_endpoint_list(known, saved=True)
-                    source.index = known.index
-        except EndpointListError as error:
-            log.warning("unusable list from the predecessor: error=%s", error)
+        if self._lists is not None and predecessor.endpoint_list is not None:
+            self._lists.apply(EndpointListUpdate(predecessor.endpoint_list, predecessor.list_age))
         if node.settings.poll_discovery:
-            source.resume(predecessor.list_age)
+            node.source.watch(True)
 
     @staticmethod
     def _restore_policy_state(node: Node, learned: JsonObject) -> None:
--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -54,6 +54,8 @@
         self._calls: dict[Call, asyncio.Task[None]] = {}
         self._next_call: asyncio.TimerHandle | None = None
         self.observer: NodeObserver | None = None
+        # Called after a list with changes has been read here.
+        self.on_read: Callable[[], None] = lambda: None
 
     def attach(self, listener: EndpointListener) -> None:
         """Name the listener."""
@@ -72,11 +74,18 @@
             self._schedule.start(self._loop.time())
             self._arm()
 
-    def resume(self, age_us: int | None) -> None:
-        """Watch from the list that another process of this node had; None: of unknown age."""
-        age_s = math.inf if age_us is None else age_us / US_PER_S
-        self._schedule.start(self._loop.time(), age_s)
-        self._arm()
+    def adopt(self, known: EndpointList, age_us: int | None) -> None:
+        """Use the complete list of another process of this node, if it is newer; None: of unknown age.
+
+        Its age goes on: a bound that began anew with each process would not be one.
+        """
+        if self.has_list and (self._pushed or known.index <= self.index):
+            return
+        self.index = known.index
+        if age_us is not None:
+            self.has_list = True
+            self._schedule.on_list(self._loop.time() - age_us / US_PER_S)
+        self._on_list(known)
 
     def list_age_us(self) -> int | None:
         """Return how long ago the list was known to be up to date; None if none has come."""
@@ -196,6 +205,8 @@
         self.has_list = True
         if first or new.complete or new.endpoints:
             self._on_list(replace(new, staleness=staleness))
+        if new.index != before or new.endpoints:
+            self.on_read()
 
 
 def failure_of(error: Exception) -> Failure:
--- a/oakbridge/node/list_refresh.py
+++ b/oakbridge/node/list_refresh.py
@@ -121,12 +121,14 @@
 
     # ---- what happens
 
-    def start(self, now: float, age_s: float = math.inf) -> None:
-        """Begin to call, at once; ``age_s``: of the list, where another process tells."""
-        if age_s < math.inf:
-            self.fresh_at = self._counted_from = now - age_s
+    def start(self, now: float) -> None:
+        """Begin to call, at once."""
         self._next_at = min(self._next_at, now)
 
+    def on_list(self, up_to_date_at: float) -> None:
+        """Take note of when a list was known to be up to date."""
+        self.fresh_at = self._counted_from = max(self.fresh_at, up_to_date_at)
+
     def restart(self, now: float) -> None:
         """Forget the calls that are out, and begin a watch at once."""
         self._calls.clear()
@@ -162,7 +164,7 @@
         """
         self._calls.clear()
         self._path_failures = 0
-        self.fresh_at = self._counted_from = max(self.fresh_at, begun_at)
+        self.on_list(begun_at)
         self._continues = continues
         self._next_at = now
 
@@ -178,7 +180,7 @@
         waited_s = now - call.started_at
         if call.kind is CallKind.RENEWAL and failure is Failure.REFUSED and waited_s > AT_ONCE_S:
             # The watch was up to date until it broke.
-            self.fresh_at = self._counted_from = now
+            self.on_list(now)
             waited_s = 0.0
         if not self._calls:
             self._next_at = now + self._delay_s(now, waited_s, failure)
--- a/tests/formats/test_handover.py
+++ b/tests/formats/test_handover.py
@@ -11,6 +11,7 @@
 from oakbridge.handover.messages import (
     ClientConnection,
     Decline,
+    EndpointListUpdate,
     Hello,
     Message,
     OperatorCommand,
@@ -72,6 +73,9 @@
     "decline": Decline(reason="another process takes over"),
     "ready": Ready(),
     "over": TakeOver(policy_state=POLICY_STATE),
+    "list": EndpointListUpdate(
+        endpoint_list={"index": 41, "snapshot": True, "endpoints": ENDPOINTS}, list_age=250_000
+    ),
     "call": OperatorCommand(verb="OFFLINE", server_id="s-1"),
     "still": RemainingLoad(attempts=2, connections=9),
     "caller": ClientConnection(),
--- a/tests/handover/test_state_machine.py
+++ b/tests/handover/test_state_machine.py
@@ -1,10 +1,14 @@
 """Both sides, with every message lost, late or cut off: one of them serves, one at a time."""
 
+from dataclasses import replace
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from oakbridge.handover.actions import (
     ApplyCommand,
+    ApplyEndpointList,
     BuildNode,
     Disconnect,
     DrainToSuccessor,
@@ -16,6 +20,7 @@
 )
 from oakbridge.handover.messages import (
     Decline,
+    EndpointListUpdate,
     Hello,
     OperatorCommand,
     Ready,
@@ -36,7 +41,7 @@
 def test_ordinary_course():
     old, new = PredecessorStateMachine("n"), SuccessorStateMachine("n")
     [hello] = new.connected()
-    assert hello == Send(Hello("n"))
+    assert hello == Send(Hello("n", shares_lists=True))
     assert old.receive(hello.message) == [SendWelcome()]
     assert new.receive(WELCOME) == [BuildNode(WELCOME)]
     assert new.node_built() == [Send(Ready())]
@@ -50,6 +55,29 @@
     assert old.state == PredecessorState.SERVING
 
 
+@pytest.mark.parametrize("old_shares", [True, None])
+@pytest.mark.parametrize("new_shares", [True, None])
+def test_lists_go_to_the_other_process_if_its_release_takes_them(old_shares, new_shares):
+    """Both are one node: what either was told counts as told to it."""
+    update = EndpointListUpdate({"index": 4}, 0)
+    old, new = PredecessorStateMachine("n"), SuccessorStateMachine("n")
+    new.connected()
+    old.receive(Hello("n", shares_lists=new_shares))
+    new.receive(replace(WELCOME, shares_lists=old_shares))
+    new.node_built()
+    assert not old.relays_lists
+    assert not new.relays_lists
+    old.receive(Ready())
+    new.receive(TakeOver({}))
+    assert (old.relays_lists, new.relays_lists) == (bool(new_shares), bool(old_shares))
+    if old.relays_lists and new.relays_lists:
+        assert old.receive(update) == new.receive(update) == [ApplyEndpointList(update)]
+    old.disconnected()
+    new.disconnected()
+    assert not old.relays_lists
+    assert not new.relays_lists
+
+
 def test_another_name_a_third_process_and_one_that_ends_are_declined():
     old = PredecessorStateMachine("n")
     assert old.receive(Hello("m")) == [Send(Decline("this is n")), Disconnect()]
@@ -91,6 +119,7 @@
         TakeOver({}),
         RemainingLoad(attempts=1, connections=1),
         OperatorCommand("JOIN", ""),
+        EndpointListUpdate({}, None),
     ]
 )
 SUCCESSOR_EVENTS = st.sampled_from(["timed_out", "disconnected", "node_built"])
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -8,6 +8,7 @@
 
 from oakbridge.node import list_refresh
 from oakbridge.node.discovery_http import STALL_TIMEOUT_S
+from oakbridge.node.endpoint_list_json import parse_endpoint_list
 
 TEN = SETTINGS | {"invariants": SETTINGS["invariants"] | {"ask-within": 10_000_000}}
 
@@ -130,6 +131,32 @@
     run(scenario())
 
 
+def test_a_list_of_the_nodes_other_process_is_used_if_it_is_newer_and_its_age_goes_on():
+    async def scenario():
+        async with (
+            Peer(lambda _: reply(200)) as one,
+            Peer(lambda _: reply(200)) as two,
+            Running(one, two, settings=TEN) as node,
+        ):
+            source, read = node.node.source, []
+            source.on_read = lambda: read.append(source.index)
+            await soon(node.registry.seen.get())
+            node.registry.put(listing(4, whole=False))
+            await soon(node.registry.seen.get())
+            entries = endpoint("s-0", one.port), endpoint("s-1", two.port, "draining")
+            source.adopt(parse_endpoint_list(listing(6, *entries)), 1_500_000)
+            assert set(node.node.pool.endpoints) == {"s-0"}
+            assert source.list_age_us() < 1_500_000  # it had been up to date more lately
+            source.adopt(parse_endpoint_list(listing(5, endpoint("s-1", two.port))), 0)
+            assert set(node.node.pool.endpoints) == {"s-0"}
+            assert read == [4]
+            node.registry.put(listing(7, endpoint("s-1", two.port), whole=False))
+            assert "since=7&" in (await soon(node.registry.seen.get())).url
+            assert read == [4, 7]
+
+    run(scenario())
+
+
 def test_drain_is_applied_at_once_and_the_watch_goes_on_from_its_index():
     async def scenario():
         async with (
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -37,7 +37,7 @@
 }  # fmt: skip
 
 
-_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", f"gw{os.getpid()}").removeprefix("gw"))
 _PORTS = itertools.count(random.randrange(500))
 
 
