Relay lists in both processes of a hand-over; keep discovery's connection through ENOBUFS

Cause: a process that had been a successor and became a predecessor had two relays for one hook, of which the last one won and sent nothing. And a read or write on discovery's connection that was short of buffers for a moment ended it, with its place in the queue.

Change: any number of listeners; discovery's connection uses the socket that the clients' connections have, now transient_error_socket.

--- a/benchmarks/faults/soak.py
+++ b/benchmarks/faults/soak.py
@@ -41,6 +41,7 @@
 ANSWER_S, REFUSAL_S = 0.15, 0.006  # of discovery that is asked by all nodes, in some runs
 LONG_DRAIN_S = (6.8, 8.5)  # past the time at which a change counts as told
 SHORT_DRAIN_S = (1.0, 2.0)
+UNSURE_S = 1.0  # the longest fault, and what it broke
 # Faults after which an answer that discovery has written may not have arrived.
 BREAKS_ANSWERS = (Fault.SEND, Fault.RECEIVE, Fault.CONNECT, Fault.SOCKET)
 
@@ -205,8 +206,8 @@
         while self._left_s() > 1.5:
             await asyncio.sleep(draw.uniform(0.1, 0.8))
             fault, errors, percent = draw.choice(FAULTS)
-            discovery = self._discoveries[node.number]
-            discovery.unsure_until = time.monotonic() + 1.0 if fault in BREAKS_ANSWERS else 0.0
+            if fault in BREAKS_ANSWERS:
+                self._discoveries[node.number].unsure_until = time.monotonic() + UNSURE_S
             node.process.faults.start(fault, draw.choice(errors), percent)
             if draw.random() < 0.2:
                 node.process.faults.step_wall_clock(draw.choice(WALL_CLOCK_STEPS_S))
--- a/oakbridge/handover/shared_lists.py
+++ b/oakbridge/handover/shared_lists.py
@@ -32,7 +32,7 @@
         self._relays = relays
         self._send = send
         if isinstance(node.source, DiscoverySource) and node.settings.poll_discovery:
-            node.source.on_read = self._relay
+            node.source.read_listeners.append(self._relay)
 
     def update(self) -> EndpointListUpdate:
         """Return the list as this process has it."""
--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -54,8 +54,8 @@
         self._calls: dict[Call, asyncio.Task[None]] = {}
         self._next_call: asyncio.TimerHandle | None = None
         self.observer: NodeObserver | None = None
-        # Called after a list with changes has been read here.
-        self.on_read: Callable[[], None] = lambda: None
+        # Each is called after a list with changes has been read here.
+        self.read_listeners: list[Callable[[], None]] = []
 
     def attach(self, listener: EndpointListener) -> None:
         """Name the listener."""
@@ -206,7 +206,8 @@
         if first or new.complete or new.endpoints:
             self._on_list(replace(new, staleness=staleness))
         if new.index != before or new.endpoints:
-            self.on_read()
+            for on_read in self.read_listeners:
+                on_read()
 
 
 def failure_of(error: Exception) -> Failure:
--- a/oakbridge/node/discovery_http.py
+++ b/oakbridge/node/discovery_http.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import socket
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,6 +16,7 @@
 from oakbridge.node.endpoint_list_json import parse_endpoint_list
 from oakbridge.node.errors import EndpointListError
 from oakbridge.node.system_errors import is_local_connect_error
+from oakbridge.node.transient_error_socket import TransientErrorSocket
 
 log = logging.getLogger(__name__)
 
@@ -82,7 +84,7 @@
     logged = False
     while True:
         try:
-            return await asyncio.open_connection(*address)
+            return await _open_connection(address)
         except OSError as error:
             if not is_local_connect_error(error.errno):
                 raise
@@ -92,6 +94,20 @@
         await asyncio.sleep(CONNECT_RETRY_S)
 
 
+async def _open_connection(
+    address: Address,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection that outlasts a shortage of buffers: its place in the queue is not lost."""
+    sock = TransientErrorSocket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, address)
+        return await asyncio.open_connection(sock=sock)
+    except BaseException:
+        sock.close()
+        raise
+
+
 async def _read_response(reader: asyncio.StreamReader) -> _Response:
     """Read a response; once it has begun, it may not stop for long.
 
--- a/oakbridge/node/http_server.py
+++ b/oakbridge/node/http_server.py
@@ -13,13 +13,13 @@
 from oakbridge.node.address import Address
 from oakbridge.node.client_connection import ClientConnection
 from oakbridge.node.client_request import ClientRequest, parse_timeout
-from oakbridge.node.client_socket import ClientSocket
 from oakbridge.node.clock import Clock, Timer
 from oakbridge.node.connection_limits import ConnectionLimits
 from oakbridge.node.invariants import Invariant, InvariantCounters
 from oakbridge.node.lifecycle import Lifecycle, Phase
 from oakbridge.node.listener import Listener
 from oakbridge.node.request_body import BodyBuffers
+from oakbridge.node.transient_error_socket import TransientErrorSocket
 
 log = logging.getLogger(__name__)
 
@@ -143,7 +143,7 @@
 
     def admit(self, sock: socket.socket) -> None:
         """Serve on a connection that was accepted here or by the process that listens."""
-        sock = ClientSocket.taking_over(sock)
+        sock = TransientErrorSocket.taking_over(sock)
         sock.setblocking(False)
         with suppress(OSError):  # a connection that broke already: its first read tells
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/oakbridge/node/client_socket.py
+++ b/oakbridge/node/transient_error_socket.py
@@ -1,4 +1,4 @@
-"""A client's socket, whose reads and writes can be short of memory or buffers for a moment.
+"""A socket whose reads and writes can be short of memory or buffers for a moment.
 
 An event loop's transport takes every failure but "would block" for the end of the connection, and
 drops the response that it was to write.  recv(2) and send(2) also document ENOMEM and ENOBUFS, which
@@ -14,11 +14,11 @@
 from oakbridge.node.system_errors import is_resource_error
 
 
-class ClientSocket(socket.socket):
+class TransientErrorSocket(socket.socket):
     """A socket whose passing failures are told as BlockingIOError."""
 
     @classmethod
-    def taking_over(cls, sock: socket.socket) -> ClientSocket:
+    def taking_over(cls, sock: socket.socket) -> TransientErrorSocket:
         """Return the same connection as a socket of this class; ``sock`` is closed."""
         return cls(sock.family, sock.type, sock.proto, sock.detach())
 
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 import pytest
-from peers import Peer, reply, run, soon, until
+from peers import SETTINGS, Peer, endpoint, listing, reply, run, soon, until
 from processes import Load, Site
 
 
@@ -215,3 +215,29 @@
             assert "taken over" in site.log()
 
     run(scenario())
+
+
+def test_what_discovery_tells_one_process_both_know_while_one_hands_over(tmp_path):
+    """Guards against a drain that one process of a node knows, and the other one sends into."""
+    invariants = SETTINGS["invariants"] | {"ask-within": 10_000_000}
+
+    async def scenario():
+        async with (
+            Peer(lambda _: reply(200)) as peer,
+            Site(tmp_path, peer, discovery="on_request", invariants=invariants) as site,
+        ):
+            await site.started()
+            busy = await site.caller()
+            await soon(site.registry.seen.get())
+            site.registry.put(listing(2, whole=False))
+            await site.started()
+            drained = listing(3, endpoint("s-0", peer.port, "draining"), whole=False)
+            async with asyncio.timeout(20):
+                while not any("list 3:" in site.log(i) for i in (0, 1)):
+                    site.registry.put(drained)  # one whose call was given up takes its turn too
+                    await asyncio.sleep(0.5)
+            await asyncio.sleep(0.2)
+            assert all("list 3:" in site.log(i) for i in (0, 1))
+            busy.close()
+
+    run(scenario())
