Have a reload's ask-within count for calls to discovery; no signal to a node at its start

Cause: the setting was read once, at the start, so a reload that shortened it left watches as long as before.

Measured: tests/node passes.

--- a/benchmarks/faults/soak.py
+++ b/benchmarks/faults/soak.py
@@ -308,10 +308,12 @@
             await asyncio.sleep(draw.uniform(0.5, 5.0))
             for _ in range(draw.randint(1, 4)):
                 await asyncio.sleep(draw.uniform(0.1, 0.9))
-                if node.is_up and not node.is_starting:
-                    discovery.moved_address = draw.choice(list(MovedAddress))
-                    port = await discovery.move()
-                    node.process.reconfigure(discovery=f"127.0.0.1:{port}")
+                if not node.takes_signals():
+                    continue
+                discovery.moved_address = draw.choice(list(MovedAddress))
+                port = await discovery.move()
+                node.process.reconfigure(discovery=f"127.0.0.1:{port}")
+                if node.takes_signals():  # one that has begun meanwhile reads the file as it is
                     self._signal(node, signal.SIGHUP)
 
     async def _trouble_discovery(self, draw: random.Random) -> None:
--- a/benchmarks/faults/soak_clients.py
+++ b/benchmarks/faults/soak_clients.py
@@ -61,6 +61,10 @@
     has_crowd: bool = False
     is_starting: bool = False  # a second process, which can't take signals yet
 
+    def takes_signals(self) -> bool:
+        """Return whether no process is at its very start, where a signal would end it."""
+        return self.is_up and not self.is_starting
+
     def takes_new_connections(self) -> bool:
         """Return whether the front would still send a new client here."""
         if not self.is_up:
--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -61,6 +61,10 @@
         """Name the listener."""
         self._on_list: Callable[[EndpointList], None] = listener.on_endpoint_list
 
+    def configure(self, poll_interval_us: int) -> None:
+        """Go by another setting from the next call on."""
+        self._schedule.configure(poll_interval_us)
+
     def start(self) -> None:
         """Listen to the agent where lists are pushed; elsewhere the balancer starts a watch."""
         if self._pushed:
--- a/oakbridge/node/list_refresh.py
+++ b/oakbridge/node/list_refresh.py
@@ -86,11 +86,7 @@
         self._random = rng
         self._pushed = pushed
         self._times = AGENT_TIMES if pushed else DISCOVERY_TIMES
-        self._poll_interval_us = poll_interval_us
-        scale = min(1.0, poll_interval_us / TOLD_US)
-        self._bound_s = BOUND_S * scale
-        self._last_call_age_s = LAST_CALL_AGE_S * scale
-        self._max_watch_s = max(MIN_WATCH_S, MAX_WATCH_S * scale)
+        self.configure(poll_interval_us)
         self.fresh_at = -math.inf  # when the list was last known to be up to date
         self._counted_from = now  # the bound is: since then, or since the start
         self._next_at = math.inf
@@ -99,6 +95,14 @@
         self._last_opened_at = -math.inf
         self._path_failures = 0  # in a row
 
+    def configure(self, poll_interval_us: int) -> None:
+        """Go by this setting from the next call on; where it is short, so is the bound."""
+        self._poll_interval_us = poll_interval_us
+        scale = min(1.0, poll_interval_us / TOLD_US)
+        self._bound_s = BOUND_S * scale
+        self._last_call_age_s = LAST_CALL_AGE_S * scale
+        self._max_watch_s = max(MIN_WATCH_S, MAX_WATCH_S * scale)
+
     # ---- what is asked
 
     @property
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -146,6 +146,8 @@
         """Apply other settings from now on."""
         self.settings = settings
         self.forwarder.configure(settings)
+        if isinstance(self.source, DiscoverySource):
+            self.source.configure(settings.poll_interval)
         self.pool.configure(settings.connect_timeout, _idle_timeout(settings))
         self.dispatcher.post(SettingsChanged(settings))
 
--- a/tests/node/test_list_refresh.py
+++ b/tests/node/test_list_refresh.py
@@ -99,6 +99,13 @@
     assert schedule.next_call_at() > due + 1.0
 
 
+def test_a_reload_that_shortens_the_bound_shortens_the_next_watch():
+    schedule, _ = with_watch()
+    schedule.configure(int(1.5 * US_PER_S))
+    schedule.on_answer(1.0, 1.0, continues=True)
+    assert schedule.begin_call(1.0).wait_s <= 0.5
+
+
 class Adversary:
     """Discovery that does anything to calls until a time, and answers them soon after it."""
 
