Note a list's age before it is passed on, so that whoever hears of it can tell it on

Cause: the first list of a process was passed on with no time noted, and its age was no number (OverflowError).

Measured: tests/node, tests/handover and the tests of discovery's faults pass.

--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -49,7 +49,6 @@
             self._loop.time(), poll_interval_us, random.Random(f"discovery {seed}"), pushed=pushed
         )
         self.index = BEFORE_ALL_VERSIONS
-        self.has_list = False  # whether any list has come
         self._needs_complete_list = False  # the next call asks for it
         self._calls: dict[Call, asyncio.Task[None]] = {}
         self._next_call: asyncio.TimerHandle | None = None
@@ -87,10 +86,14 @@
             return
         self.index = known.index
         if age_us is not None:
-            self.has_list = True
             self._schedule.on_list(self._loop.time() - age_us / US_PER_S)
         self._on_list(known)
 
+    @property
+    def has_list(self) -> bool:
+        """Whether any list has come."""
+        return self._schedule.fresh_at > -math.inf
+
     def list_age_us(self) -> int | None:
         """Return how long ago the list was known to be up to date; None if none has come."""
         if not self.has_list:
@@ -167,7 +170,7 @@
         else:
             now = self._loop.time()
             continues = address == self._address and not self._needs_complete_list
-            self._schedule.on_answer(now, response.begun_at, continues=continues)
+            self._schedule.on_answer(now, continues=continues)
         self._arm()
 
     async def _poll(self, address: Address, path: str, timeout_s: float) -> PollResponse:
@@ -206,7 +209,7 @@
             raise OutdatedListError(f"index: expected changes since {before}, got {new.index}")
         self.index = new.index
         staleness = self.list_age_us()
-        self.has_list = True
+        self._schedule.on_list(response.begun_at)
         if first or new.complete or new.endpoints:
             self._on_list(replace(new, staleness=staleness))
         if new.index != before or new.endpoints:
--- a/oakbridge/node/list_refresh.py
+++ b/oakbridge/node/list_refresh.py
@@ -161,14 +161,13 @@
         self._calls.append(call)
         return call
 
-    def on_answer(self, now: float, begun_at: float, *, continues: bool) -> None:
-        """Take the answer to a call, which makes the others superfluous.
+    def on_answer(self, now: float, *, continues: bool) -> None:
+        """Take the answer to a call, whose list is noted, and which makes the others superfluous.
 
-        ``begun_at``: when its first byte came; ``continues``: whether its watch goes on.
+        ``continues``: whether its watch goes on.
         """
         self._calls.clear()
         self._path_failures = 0
-        self.on_list(begun_at)
         self._continues = continues
         self._next_at = now
 
