Call discovery beside an overdue call only after 2.25 s, or as the bound comes near

Logs of 200 nodes: discovery refuses there after 2.0 s in its queue, a second call was made after 1.25 s, so each node had two places and from second 15 on 100 to 220 calls a second were refused and none answered.

The 8,000 courses against the bound pass, with the shorter wait from an age of 4.75 s on.

--- a/oakbridge/node/list_refresh.py
+++ b/oakbridge/node/list_refresh.py
@@ -30,6 +30,7 @@
 # The first call of a watch does not wait for a change, so that an answer that is lost shows early.
 NO_WAIT_S = 0.001
 LAST_CALL_AGE_S = 4.25  # of the list: a call that begins then still has time for its answer
+LATE_AGE_S = 4.75  # of the list: no call that has been out for a while is waited for longer
 MAX_PATH_RETRIES = 10  # in a row
 PATH_RETRY_S = 0.05
 MAX_CALLS = 3  # at once
@@ -41,14 +42,15 @@
     """What is expected of the call that begins a watch."""
 
     overdue_s: float  # after which another is made beside it, which keeps its place in the queue
+    late_s: float  # the same, where the bound on the list's age would pass before
     timeout_s: float
-    age_s: float  # of the list, before which none is made beside it
 
 
-# Discovery itself refuses calls that have waited in its queue for one to three seconds.
-DISCOVERY_TIMES = CallTimes(overdue_s=1.25, timeout_s=3.0, age_s=3.5)
+# Discovery itself refuses calls that have waited in its queue for one or two seconds.  To call again
+# before that gives a node two places there, and 200 nodes a queue that is never worked off.
+DISCOVERY_TIMES = CallTimes(overdue_s=2.25, late_s=1.25, timeout_s=3.0)
 # An agent on the same machine answers at once.
-AGENT_TIMES = CallTimes(overdue_s=0.35, timeout_s=1.0, age_s=0.0)
+AGENT_TIMES = CallTimes(overdue_s=0.35, late_s=0.35, timeout_s=1.0)
 AGENT_RETRY_S = 0.1
 
 
@@ -101,6 +103,7 @@
         scale = min(1.0, poll_interval_us / TOLD_US)
         self._bound_s = BOUND_S * scale
         self._last_call_age_s = LAST_CALL_AGE_S * scale
+        self._late_s = LATE_AGE_S * scale
         self._max_watch_s = max(MIN_WATCH_S, MAX_WATCH_S * scale)
 
     # ---- what is asked
@@ -117,7 +120,9 @@
         if len(self._calls) == MAX_CALLS or self._calls[-1].kind is CallKind.RENEWAL:
             return math.inf
         overdue_at = self._last_opened_at + self._times.overdue_s
-        return max(overdue_at, self._counted_from + self._times.age_s)
+        late_at = max(self._last_opened_at + self._times.late_s, self._counted_from + self._late_s)
+        is_late = late_at < self._counted_from + self._bound_s
+        return min(overdue_at, late_at) if is_late else overdue_at
 
     def age_s(self, now: float) -> float:
         """Return the age of the list; infinity if none has come."""
