Count a watch that broke from its last answer, not from the break

Cause: a watch that had been open for a while counted as up to date until it broke. Where an answer is lost first and the connection broken later, the bound began anew with the break.

Measured: the 8,000 courses pass.

--- a/oakbridge/node/list_refresh.py
+++ b/oakbridge/node/list_refresh.py
@@ -186,9 +186,9 @@
             return
         self._calls.remove(call)
         waited_s = now - call.started_at
-        if call.kind is CallKind.RENEWAL and failure is Failure.REFUSED and waited_s > AT_ONCE_S:
-            # The watch was up to date until it broke.
-            self.on_list(now)
+        if call.kind is CallKind.RENEWAL and waited_s > AT_ONCE_S:
+            # It did not stand in the queue.  Its list is as old as its last answer: what was told
+            # since may have been lost before the break.
             waited_s = 0.0
         if not self._calls:
             self._next_at = now + self._delay_s(now, waited_s, failure)
--- a/tests/node/test_list_refresh.py
+++ b/tests/node/test_list_refresh.py
@@ -46,7 +46,7 @@
 @pytest.mark.parametrize(
     ("failure", "after_s", "least_s", "most_s"),
     [
-        (Failure.REFUSED, 1.0, 0.3, 4.5),  # it was up to date until it broke
+        (Failure.REFUSED, 1.0, 0.3, 3.25),  # it stood in no queue; its list may be as old as it
         (Failure.REFUSED, 0.1, 2.3, 4.4),  # refused at once: younger lists stand back
         (Failure.SILENT, 2.5, 0.0, 0.0),
         (Failure.OUTDATED, 1.0, 0.0, 0.0),
@@ -145,8 +145,10 @@
     until = rng.uniform(0.0, 4.2)
     adversary = Adversary(rng, until)
     schedule, watch = with_watch(seed, pushed=pushed)
-    # The watch is lost, or breaks, with the first change.
-    out = [(rng.choice((watch.timeout_s, rng.uniform(0.3, watch.wait_s))), Failure.SILENT, watch)]
+    # The first change is lost at once; the watch on which it was told is silent, or breaks later.
+    breaks_at = rng.uniform(0.0, watch.wait_s)
+    ends_at, how = rng.choice(((watch.timeout_s, Failure.SILENT), (breaks_at, Failure.REFUSED)))
+    out = [(ends_at, how, watch)]
     move_times = sorted(rng.uniform(0.0, 4.0) for _ in range(4)) if moves else []
     while True:
         ends_at, how, call = min(out, key=lambda one: one[0], default=(math.inf, None, None))
