--- a/oakbridge/node/list_refresh.py
+++ b/oakbridge/node/list_refresh.py
@@ -96,6 +96,7 @@
         self._calls: list[Call] = []
         self._last_opened_at = -math.inf
         self._path_failures = 0  # in a row
+        self._queue_time_s = 0.0  # which the last refused call spent in discovery's queue
 
     def configure(self, poll_interval_us: int) -> None:
         """Go by this setting from the next call on; where it is short, so is the bound."""
@@ -120,7 +121,9 @@
         if len(self._calls) == MAX_CALLS or self._calls[-1].kind is CallKind.RENEWAL:
             return math.inf
         overdue_at = self._last_opened_at + self._times.overdue_s
-        late_at = max(self._last_opened_at + self._times.late_s, self._counted_from + self._late_s)
+        # A call that is only as old as one that was refused may still stand in the queue.
+        late_s = max(self._times.late_s, self._queue_time_s + AT_ONCE_S)
+        late_at = max(self._last_opened_at + late_s, self._counted_from + self._late_s)
         is_late = late_at < self._counted_from + self._bound_s
         return min(overdue_at, late_at) if is_late else overdue_at
 
@@ -190,6 +193,8 @@
             # It did not stand in the queue.  Its list is as old as its last answer: what was told
             # since may have been lost before the break.
             waited_s = 0.0
+        elif failure is Failure.REFUSED and waited_s > AT_ONCE_S:
+            self._queue_time_s = waited_s
         if not self._calls:
             self._next_at = now + self._delay_s(now, waited_s, failure)
 
--- a/tests/node/test_list_refresh.py
+++ b/tests/node/test_list_refresh.py
@@ -86,6 +86,16 @@
     assert schedule.next_call_at() == pytest.approx(7.0)  # the bound has passed then
 
 
+def test_a_call_is_not_late_while_it_may_stand_in_the_queue():
+    """Guards against two places in a queue of which each call is refused after two seconds."""
+    schedule, watch = with_watch()
+    schedule.on_failure(watch, 1.0, Failure.SILENT)
+    schedule.on_failure(schedule.begin_call(1.0), 3.0, Failure.REFUSED)
+    due = schedule.next_call_at()
+    schedule.begin_call(due)
+    assert schedule.next_call_at() == pytest.approx(due + 2.25)
+
+
 def test_path_failures_in_a_row_come_to_an_end():
     schedule, call = with_watch()
     now = 1.0
