Count a request's time left from when it was read, not from when its event is handled

Cause: the forwarder told the balancer the time that a request had left, and the dispatcher read the clock again for the event. A process that stood still in between, or a queue of events, moved the request's end by as much.

Measured: the new test failed with 899,958 us where 700,000 are left, and passes; tests/node and tests/sip pass.

--- a/oakbridge/node/dispatcher.py
+++ b/oakbridge/node/dispatcher.py
@@ -22,7 +22,13 @@
     WatchEndpoints,
 )
 from oakbridge.policy.balancer import Balancer
-from oakbridge.policy.events import AttemptEnded, Event, RequestReceived, TimerFired
+from oakbridge.policy.events import (
+    AttemptEnded,
+    Event,
+    RequestBodySent,
+    RequestReceived,
+    TimerFired,
+)
 
 log = logging.getLogger(__name__)
 
@@ -67,7 +73,7 @@
         self.observer: NodeObserver | None = None
         self.fronts: list[Front] = []  # beside HTTP
         self._clock = clock
-        self._events: deque[Event] = deque()
+        self._events: deque[tuple[Event, int | None]] = deque()
         self._handling = False
 
     def attach(self, requests: RequestActions, source: EndpointSource) -> None:
@@ -77,16 +83,19 @@
 
     # ---- events in
 
-    def post(self, event: Event) -> None:
-        """Hand an event to the balancer; one that comes up while actions are carried out waits its turn."""
-        self._events.append(event)
+    def post(self, event: Event, as_of: int | None = None) -> None:
+        """Hand an event to the balancer; one that comes up while actions are carried out waits its turn.
+
+        ``as_of``: when the time left that it tells was read.
+        """
+        self._events.append((event, as_of))
         if not self._handling:
             self._handle_all()
 
     @contextmanager
     def posting_first(self, event: Event) -> Iterator[None]:
         """Post an event that the balancer sees before all that the block posts; both are handled at its end."""
-        self._events.append(event)
+        self._events.append((event, None))
         was_handling, self._handling = self._handling, True
         try:
             yield
@@ -99,13 +108,16 @@
         self._handling = True
         try:
             while self._events:
-                self._handle(self._events.popleft())
+                self._handle(*self._events.popleft())
         finally:
             self._handling = False
 
-    def _handle(self, event: Event) -> None:
+    def _handle(self, event: Event, as_of: int | None) -> None:
         """Handle one event, and its actions in order; a fault is contained to the request that it is about."""
         now = self._clock.now()
+        if as_of is not None and isinstance(event, RequestReceived | RequestBodySent):
+            # The process may have been held up since, and the client's time has not.
+            event.time_left = max(0, event.time_left - (now - as_of))
         try:
             if self.observer is not None:
                 self.observer.on_event(now, event)
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
+from typing import Protocol
 
 from oakbridge.node.attempt import Attempt, AttemptOutcome, ResponseSink
 from oakbridge.node.client_request import HOP_BY_HOP_HEADERS, ClientRequest
@@ -35,6 +36,13 @@
 MAX_COST_DIGITS = 15
 
 
+class EventSink(Protocol):
+    """Hands an event to the balancer."""
+
+    def __call__(self, event: Event, as_of: int | None = None) -> None:
+        """``as_of``: when the time left that the event tells was read."""
+
+
 class RequestForwarder:
     """All requests that came in over HTTP and are not ended yet.  Times are in microseconds."""
 
@@ -44,7 +52,7 @@
         clock: Clock,
         pool: ConnectionPool,
         endpoints: EndpointUpdates,
-        post: Callable[[Event], None],
+        post: EventSink,
         ids: Iterator[int],
     ) -> None:
         """``post``: hands an event to the balancer; ``ids``: its numbers of requests, for all fronts."""
@@ -116,7 +124,8 @@
                 request.header_text(b"x-route-key"),
                 _cost(request),
                 streamed=body is not None,
-            )
+            ),
+            now,
         )
 
     def client_time_left(self, request: ClientRequest) -> int:
@@ -218,7 +227,7 @@
         request.body_sent_at = now
         self._pool.set_deadline(request.attempt, now + timeout)
         self._set_overdue_timer(request, now + timeout)
-        self._post(RequestBodySent(request.id, forwarded.number, timeout))
+        self._post(RequestBodySent(request.id, forwarded.number, timeout), now)
 
     def cancel(self, action: CancelAttempt) -> None:
         """Cancel an attempt, if it is the one in flight."""
--- a/tests/node/test_dispatcher.py
+++ b/tests/node/test_dispatcher.py
@@ -81,6 +81,30 @@
     run(scenario())
 
 
+def test_time_left_counts_from_when_it_was_read_though_the_process_is_held_up_before_its_event():
+    async def scenario():
+        async with Running() as node:
+            forwarder, node.node.dispatcher.balancer = node.node.forwarder, Script([FailRequest(1)])
+            post = forwarder._post
+
+            def held_up(event, *as_of):
+                time.sleep(0.2)
+                post(event, *as_of)
+
+            forwarder._post = held_up
+            caller = await node.caller()
+            caller.send(X_Timeout="900m")
+            assert (await caller.answer())[0] == 502
+            [received] = [
+                event
+                for event in node.node.dispatcher.balancer.events
+                if isinstance(event, RequestReceived)
+            ]
+            assert received.time_left <= 700_000
+
+    run(scenario())
+
+
 def test_request_that_the_module_forgets_is_failed_when_its_time_is_up():
     async def scenario():
         async with Peer(lambda _: None) as peer, Running(peer) as node:
