Let the head of a response that breaks off reach its client, where the client can tell

Cause: a streamed response that broke was reset, and a reset takes along what the client's socket had not taken yet.

Change: where the head tells the body's length or its chunks, the connection ends as others do, last bytes first; a reset is left where the end of the connection ends the body, or where pipelined requests wait behind.

Measured: the new test, which holds the client's socket up, failed three times with a reset and no byte, and passes three times; tests/node passes.

--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -20,7 +20,6 @@
 from oakbridge.node.read_deadlines import MIN_BODY_BYTES_PER_CHECK, ClientProgress
 from oakbridge.node.request_parser import RequestParser, RequestPhase
 from oakbridge.node.response_writer import (
-    CHUNKED_HEADER,
     CONTINUE,
     ResponseSource,
     ResponseStream,
@@ -283,13 +282,7 @@
         self._change_state(ConnectionEvent.RESPONSE_STARTED)
         framing = stream_framing(length, http10=request.http10)
         is_last = not framing or self._closes_after(request)
-        chunked = framing == CHUNKED_HEADER
-        self.response_stream = ResponseStream(
-            self.transport,
-            source,
-            chunked=chunked,
-            is_last=is_last,
-        )
+        self.response_stream = ResponseStream(self.transport, source, framing, is_last=is_last)
         head = encode_response_head(status, headers, framing, close=is_last, http10=request.http10)
         self.transport.write(head)
         return True
@@ -310,11 +303,16 @@
         self._after_response()
 
     def abort_response(self) -> None:
-        """Break a streamed response off: the client sees its connection break.
+        """Break a streamed response off: the client sees that it is not whole.
 
-        By a reset: the end of the connection may be the end of the body.
+        What was written still leaves, as a client that gets no head got no answer at all.  A reset,
+        which may take it along, only tells where the end of the connection is the end of the body.
         """
-        self._forget_stream()
+        stream = self._forget_stream()
+        if stream is not None and stream.is_framed and not self.pending:
+            if not self.has_ended():
+                self._end_sending()
+            return
         reset_on_close(self._sock)
         self.abort()
 
--- a/oakbridge/node/response_writer.py
+++ b/oakbridge/node/response_writer.py
@@ -85,14 +85,21 @@
 class ResponseStream:
     """The body of a response that is forwarded while it is received."""
 
-    __slots__ = ("_chunked", "_transport", "is_last", "source")
+    __slots__ = ("_chunked", "_transport", "is_framed", "is_last", "source")
 
     def __init__(
-        self, transport: asyncio.Transport, source: ResponseSource, *, chunked: bool, is_last: bool
+        self,
+        transport: asyncio.Transport,
+        source: ResponseSource,
+        framing: bytes,
+        *,
+        is_last: bool,
     ) -> None:
         """``is_last``: the head has told the client that the connection ends with this response."""
         self._transport = transport
-        self._chunked = chunked
+        self._chunked = framing == CHUNKED_HEADER
+        # The client can tell a whole body from one that breaks off, however its connection ends.
+        self.is_framed = bool(framing)
         self.source = source
         self.is_last = is_last
 
--- a/tests/node/test_streaming.py
+++ b/tests/node/test_streaming.py
@@ -11,6 +11,7 @@
 from oakbridge.node.connection_pool import MIN_IDLE_US
 from oakbridge.node.request_body import STREAM_WINDOW_BYTES
 from oakbridge.node.settings import read_settings
+from oakbridge.node.transient_error_socket import TransientErrorSocket
 
 BIG = 3_000_000
 PART = bytes(range(256)) * 256
@@ -235,6 +236,41 @@
     run(scenario())
 
 
+def test_the_head_of_a_response_that_breaks_reaches_a_client_whose_writes_are_held_up(monkeypatch):
+    """Guards against a reset that takes a head along: the client would see no answer at all."""
+    held_up, broken = True, asyncio.Event()
+    send = TransientErrorSocket.send
+
+    def send_later(self, *given):
+        if held_up:
+            raise BlockingIOError
+        return send(self, *given)
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BIG + b"x" * 20_000)
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        writer.transport.abort()
+        broken.set()
+
+    async def scenario():
+        nonlocal held_up
+        async with RawServer(handle) as server, Running(server) as node:
+            caller = await node.caller()
+            monkeypatch.setattr(TransientErrorSocket, "send", send_later)
+            caller.send()
+            await soon(broken.wait())
+            await until(lambda: not node.node.forwarder.requests)
+            held_up = False
+            head = await soon(caller.reader.readuntil(b"\r\n\r\n"))
+            assert head.startswith(b"HTTP/1.1 200 ")
+            with contextlib.suppress(ConnectionError):
+                assert len(await soon(caller.reader.read())) < BIG
+
+    run(scenario())
+
+
 def test_a_long_response_is_not_aborted_at_the_requests_deadline():
     async def handle(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
