Send nothing by a saved list before the agent that pushes lists had time to answer

Cause: a process began by its saved list and asked the agent beside it. Where it could make no socket for 0.4 s, it sent to a server whose drain the agent had; what an agent has counts as told from the first moment of a process.

Change: where lists are pushed, the saved list is applied right before the first list of the agent, or 0.75 s after the start; requests wait as they do without a list.

--- a/oakbridge/node/endpoint_updates.py
+++ b/oakbridge/node/endpoint_updates.py
@@ -44,6 +44,7 @@
         ] = {}  # all servers, draining ones among them, as they are listed
         self._batches: deque[EndpointList] = deque()
         self._start_times = StartTimes()
+        self._held_back: EndpointList | None = None  # a saved list, until a newer one comes
 
     # ---- what is known
 
@@ -53,10 +54,12 @@
 
     def all_held_out(self) -> bool:
         """Return whether no server may be sent to, and operators hold some out."""
-        return not self._pool.endpoints and bool(self.outages.out())
+        is_listed = self._held_back is None
+        return is_listed and not self._pool.endpoints and bool(self.outages.out())
 
     def current(self) -> list[ListedEndpoint]:
         """Apply what is left of a list, and return all servers as they are listed."""
+        self.release()
         self._apply_all_batches()
         return list(self._listed.values())
 
@@ -64,6 +67,7 @@
 
     def on_endpoint_list(self, new: EndpointList, *, saved: bool = False) -> None:
         """Apply a list from now on; a long one in batches, one in each turn of the loop."""
+        self.release()
         self._apply_all_batches()  # a newer list builds on all of the one before
         self._log_list(new)
         starts = self._start_times.adjust(new.endpoints, self._clock.now(), new.staleness)
@@ -71,6 +75,20 @@
         self._batches.extend([new] if saved else split_into_batches(new, self._listed))
         self._apply_next_batch(saved=saved)
 
+    def hold_back(self, saved: EndpointList) -> None:
+        """Apply a saved list only right before a newer one, or once it is released.
+
+        What an agent has counts as told from the first moment of a process; the saved list may be
+        older than that.
+        """
+        self._held_back = saved
+
+    def release(self) -> None:
+        """Apply the list that was held back, if one still is."""
+        saved, self._held_back = self._held_back, None
+        if saved is not None:
+            self.on_endpoint_list(saved, saved=True)
+
     def prepare(self, endpoints: Iterable[ListedEndpoint]) -> None:
         """Have the balancer make records ahead for what the next list names; nothing is sent there yet."""
         self._dispatcher.post(EndpointsAnnounced([endpoint.server for endpoint in endpoints]))
@@ -93,6 +111,7 @@
 
     def take_out(self, name: str) -> bool | None:
         """Hold a server out for operators, from this call on; False if it was out, None if there is none such."""
+        self.release()
         if name not in self._listed and not self.outages.holds(name):
             return None
         taken = self.outages.take_out(name, self._clock.now())
@@ -105,6 +124,7 @@
 
         ``warm_up``: microseconds after which a server is warm, restarted or not.
         """
+        self.release()
         now = self._clock.now()
         self.outages.forget_older(now - warm_up)
         if self.outages.put_back(name, now):
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -33,6 +33,8 @@
 SERVERS_PART = 0.4  # of the other descriptors
 # Where the settings do not tell after how long servers close idle connections.
 DEFAULT_IDLE_TIMEOUT_US = 60_000_000
+# An agent that pushes lists answers within milliseconds; one that is silent is not waited for longer.
+SAVED_LIST_WAIT_S = 0.75
 BYTES_PER_MB = 1024 * 1024
 
 
@@ -66,6 +68,7 @@
         """
         self.config = config
         self.settings = config.settings
+        self._loop = loop
         self.clock = Clock(loop, clock_offset)
         self.ids = itertools.count(1)  # the balancer's numbers of requests, for all fronts
         self.outages = outages or Outages()
@@ -129,7 +132,10 @@
         except EndpointListError as e:
             self.server.close()
             raise ConfigError(f"known: {e}") from None
-        self.endpoints.on_endpoint_list(listing, saved=True)
+        if self.settings.poll_discovery or not listing.endpoints:
+            self.endpoints.on_endpoint_list(listing, saved=True)
+        else:
+            self.endpoints.hold_back(listing)
 
     # ---- start, reload and shutdown
 
@@ -137,6 +143,7 @@
         """Start the source of endpoint lists, and accept connections."""
         self.source.start()
         self.server.start()
+        self._loop.call_later(SAVED_LIST_WAIT_S, self.endpoints.release)
 
     def reload(self, config: Config) -> None:
         """Apply a new configuration while serving; see :mod:`oakbridge.node.reload`."""
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -1,5 +1,6 @@
 """Discovery as a source, over loopback: polls, watches, and what becomes of either when it fails."""
 
+import asyncio
 import json
 import time
 
@@ -157,6 +158,33 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("agent", ["answers", "silent"])
+def test_a_process_sends_nothing_by_its_saved_list_before_its_agent_had_time_to_answer(agent):
+    pushed = TEN | {"discovery": "pushed"}
+
+    async def scenario():
+        async with (
+            Peer(lambda _: reply(200)) as one,
+            Peer(lambda _: reply(200)) as two,
+            Running(one, two, settings=pushed) as node,
+        ):
+            began = time.monotonic()
+            caller = await node.caller()
+            caller.send()
+            await soon(node.registry.seen.get())
+            await asyncio.sleep(0.2)
+            assert (one.seen.qsize(), two.seen.qsize()) == (0, 0)
+            if agent == "answers":
+                node.registry.put(listing(4, endpoint("s-0", one.port, "draining"), whole=False))
+            assert (await caller.answer())[0] == 200
+            if agent == "answers":
+                assert (one.seen.qsize(), two.seen.qsize()) == (0, 1)
+            else:
+                assert 0.7 < time.monotonic() - began < 2.0
+
+    run(scenario())
+
+
 def test_drain_is_applied_at_once_and_the_watch_goes_on_from_its_index():
     async def scenario():
         async with (
