--- a/benchmarks/faults/discovery_standin.py
+++ b/benchmarks/faults/discovery_standin.py
@@ -166,12 +166,12 @@
         self.fault = AnswerFault.NONE
         self.fault_times[-1] = (self.fault_times[-1][0], time.monotonic())
 
-    def on_node_started(self) -> None:
+    def on_node_started(self, at: float | None = None) -> None:
         """Note that a new process runs, which has been told nothing.
 
         One that takes over is the same node: what either process was told counts for both.
         """
-        self.runs.append(NodeRun(time.monotonic()))
+        self.runs.append(NodeRun(time.monotonic() if at is None else at))
 
     async def _listen(self) -> asyncio.Server:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/benchmarks/faults/soak_clients.py
+++ b/benchmarks/faults/soak_clients.py
@@ -62,6 +62,7 @@
     ending_since: float | None = None  # SIGTERM
     is_up: bool = True
     has_crowd: bool = False
+    accepts_until: float = 0.0  # until then no further failure of accept begins
     is_starting: bool = False  # a second process, which can't take signals yet
 
     def takes_signals(self) -> bool:
--- a/oakbridge/node/startup.py
+++ b/oakbridge/node/startup.py
@@ -9,6 +9,8 @@
 import asyncio
 import logging
 import selectors
+import signal
+import threading
 import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
@@ -21,6 +23,7 @@
 
 PATIENCE_S = 20.0
 RETRY_S = 0.05
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 
 def retry_resource_errors(call: Callable[[], T], what: str) -> T:
@@ -76,3 +79,10 @@
     def _make_self_pipe(self) -> None:
         make: Callable[[], None] = super()._make_self_pipe  # type: ignore[misc]
         retry_resource_errors(make, "making the event loop's sockets")
+
+    def close(self) -> None:
+        """Close, with signals ignored: one that comes while the sockets go could not be told."""
+        if threading.current_thread() is threading.main_thread():
+            for number in HANDLED_SIGNALS:
+                signal.signal(number, signal.SIG_IGN)
+        super().close()
