--- a/benchmarks/faults/soak.py
+++ b/benchmarks/faults/soak.py
@@ -277,12 +277,14 @@
         if node.process.log().count("taken over") == taken_over:
             # It will find the other one ending, and serve alone: a new process, told of nothing.
             self._discoveries[node.number].on_node_started(started_at)
+            self._discoveries[node.number].has_two_callers = True
         terminated_at = time.monotonic()
         for number in (signal.SIGTERM, *draw.choices((signal.SIGHUP, signal.SIGTERM), k=1)):
             self._signal_process(previous, number)
             await asyncio.sleep(draw.uniform(0.01, 0.3))
         await asyncio.sleep(terminated_at + KILL_AFTER_S - time.monotonic())
         await self._end_process(node, previous)
+        self._discoveries[node.number].has_two_callers = False
         await asyncio.sleep(draw.uniform(0.2, 2.0))
 
     @staticmethod
