--- a/benchmarks/faults/soak_clients.py
+++ b/benchmarks/faults/soak_clients.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from node_process import CLASSES, NodeProcess
+from soak_server import arrived_at
 
 # A request's final answer may come so long after its time; later it is lost.
 ANSWER_SLACK_S = 0.5
@@ -208,10 +209,18 @@
         body = await connection.reader.readexactly(request.body_length)
         request.outcome = Outcome.ANSWERED
         request.status, request.body = int(first.split(" ")[1]), body
-        request.ended_at = time.monotonic()
+        request.ended_at = self._arrived_at(connection)
         if headers.get("connection") == "close":
             self._drop()
 
+    @staticmethod
+    def _arrived_at(connection: Connection) -> float:
+        """Return when the answer reached this machine: this process may have stood still since."""
+        try:
+            return arrived_at(connection.writer.transport)
+        except OSError:  # the connection broke behind the answer
+            return time.monotonic()
+
     def _encode(self, request: SentRequest) -> bytes:
         is_safe = request.class_name == "look"
         lines = [
--- a/benchmarks/faults/soak_server.py
+++ b/benchmarks/faults/soak_server.py
@@ -22,6 +22,13 @@
 HANG_S = 60.0
 
 
+def arrived_at(transport: asyncio.BaseTransport) -> float:
+    """Return when the kernel received the last bytes on a connection, however late they are read."""
+    sock = transport.get_extra_info("socket")
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
+    return time.monotonic() - LAST_DATA_RECEIVED.unpack(info)[0] / 1000
+
+
 class Behaviour:
     """What becomes of each request."""
 
@@ -97,9 +104,7 @@
     def _arrived_at(self) -> float:
         """Return when the kernel received the bytes that were just read."""
         assert self._transport is not None
-        sock = self._transport.get_extra_info("socket")
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
-        return time.monotonic() - LAST_DATA_RECEIVED.unpack(info)[0] / 1000
+        return arrived_at(self._transport)
 
     def _serve(self, headers: dict[str, str]) -> None:
         self._request_id = headers["x-request-id"]
