Call discovery no more once its source is stopped, whatever timers ask for

Cause: closing a node posts events to the balancer, whose first one asks for a watch a moment later; the source began it after the node's end. Seen as a task that was destroyed while pending, and a coroutine that was never awaited, in the last run of all tests on the integration machine. Change: stop() is final, the balancer's watch(False) only pauses.

--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -52,6 +52,7 @@
         self._needs_complete_list = False  # the next call asks for it
         self._calls: dict[Call, asyncio.Task[None]] = {}
         self._next_call: asyncio.TimerHandle | None = None
+        self._stopped = False
         self.observer: NodeObserver | None = None
         # Each is called after a list with changes has been read here.
         self.read_listeners: list[Callable[[], None]] = []
@@ -70,10 +71,10 @@
             self.watch(True)
 
     def watch(self, on: bool) -> None:
-        """Begin to watch, or stop; a watch that runs, or waits for its turn, goes on as it is."""
+        """Begin to watch, or pause; a watch that runs, or waits for its turn, goes on as it is."""
         if not on:
-            self.stop()
-        elif not self._schedule.is_running:
+            self._pause()
+        elif not self._schedule.is_running and not self._stopped:
             self._schedule.start(self._loop.time())
             self._arm()
 
@@ -115,14 +116,18 @@
         """
         self._address = address
         self._schedule.end_watch()
-        if self._pushed:
+        if self._pushed and not self._stopped:
             self.index = BEFORE_ALL_VERSIONS
             self._cancel_calls()
             self._schedule.restart(self._loop.time())
             self._arm()
 
     def stop(self) -> None:
-        """Call discovery no more."""
+        """Call discovery no more, whatever the balancer's timers ask for while the node closes."""
+        self._stopped = True
+        self._pause()
+
+    def _pause(self) -> None:
         self._schedule.stop()
         self._cancel_calls()
         self._arm()
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -263,3 +263,22 @@
             assert "since=2&" in (await soon(node.registry.seen.get())).url
 
     run(scenario())
+
+
+def test_a_source_that_was_stopped_makes_no_call_whatever_still_asks_for_one():
+    """A balancer's timer may go off while its node closes."""
+
+    async def scenario():
+        async with Peer(lambda _: reply(200)) as peer, Running(peer, settings=TEN) as node:
+            await soon(node.registry.seen.get())
+            source = node.node.source
+            node.node.close()
+            before = asyncio.all_tasks()
+            source.watch(True)
+            source.move(("127.0.0.1", node.registry.port))
+            source.fetch()
+            await asyncio.sleep(0.05)
+            assert asyncio.all_tasks() <= before
+            assert node.registry.seen.empty()
+
+    run(scenario())
