Tell and count the reason of each request that ends without a server's response

Change: RejectRequest and FailRequest carry an UnservedReason; the node counts them, and logs the counts at most once a second and at its end. The times of a request have a module of their own (policy/request_times), as the balancer had grown beyond its size.

--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -164,6 +164,7 @@
         self.forwarder.abandon_all()
         await self.server.flush()
         self.close()
+        self.forwarder.unserved.log_new()
         self.server.invariants.log_summary()
 
     def close(self) -> None:
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -15,6 +15,7 @@
 from oakbridge.node.invariants import Invariant, InvariantCounters
 from oakbridge.node.load_report import parse_load_report
 from oakbridge.node.server_connection import ServerConnection
+from oakbridge.node.unserved_requests import UnservedRequests
 from oakbridge.policy.actions import CancelAttempt, FailRequest, RejectRequest, SendAttempt
 from oakbridge.policy.events import (
     AttemptEnded,
@@ -61,6 +62,7 @@
         self.served = 0  # responses since the start
         self.rejected = 0
         self.failed = 0
+        self.unserved = UnservedRequests()
         self.invariants = InvariantCounters()
         self._clock = clock
         self._pool = pool
@@ -320,11 +322,13 @@
             headers.append((b"retry-after", b"%.3f" % (action.retry_after / 1e6)))
         if self._finish(action.request_id, 503, headers):
             self.rejected += 1
+            self.unserved.add(action.reason, self._clock.now())
 
     def fail(self, action: FailRequest) -> None:
         """Fail a request that may have run and can't be retried."""
         if self._finish(action.request_id, 502, []):
             self.failed += 1
+            self.unserved.add(action.reason, self._clock.now())
 
     def abandon(self, request_id: int) -> None:
         """Fail a request that the balancer can't be trusted with any more, and cancel its attempt."""
--- a/oakbridge/policy/actions.py
+++ b/oakbridge/policy/actions.py
@@ -6,6 +6,21 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
+
+
+class UnservedReason(Enum):
+    """Why a request ended without a server's response."""
+
+    SHED = "shed by the plan for all replicas"
+    QUEUE_FULL = "more requests waited than would have had a turn"
+    WAITED_TOO_LONG = "no server was free in time"
+    OUT_OF_TIME = "its time was up"
+    NO_TIME_FOR_RETRY = "an attempt failed, and no time was left for another"
+    RETRY_UNSAFE = "an attempt failed, and another is not allowed or not safe"
+    RETRY_BUDGET = "an attempt failed, and the retry budget was spent"
+    SERVERS_GONE = "no server is left of the list that it keeps to"
+    UNKNOWN_CLASS = "its class is not known"
 
 
 @dataclass(slots=True)
@@ -24,6 +39,7 @@
 
     request_id: int
     retry_after: int = 0
+    reason: UnservedReason = UnservedReason.WAITED_TOO_LONG
 
 
 @dataclass(slots=True)
@@ -31,6 +47,7 @@
     """Final response: the request failed, with no promise about its effect."""
 
     request_id: int
+    reason: UnservedReason = UnservedReason.OUT_OF_TIME
 
 
 @dataclass(slots=True)
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from oakbridge.policy import actions, events
+from oakbridge.policy.actions import UnservedReason
 from oakbridge.policy.admission import AdmissionControl
 from oakbridge.policy.endpoint_reconciler import EndpointReconciler
 from oakbridge.policy.events import NEVER_RAN, AttemptResult
@@ -19,6 +20,7 @@
 from oakbridge.policy.outlier_detection import OutlierDetection
 from oakbridge.policy.quota import Quotas
 from oakbridge.policy.records import Attempt, OpenRequest, Server
+from oakbridge.policy.request_times import RequestTimes
 from oakbridge.policy.retry_budget import RetryBudget
 from oakbridge.policy.retry_safety import RetrySafety
 from oakbridge.policy.server_selection import ServerSelection
@@ -55,6 +57,7 @@
         self.members = Membership(settings.zone if crossing_costs else "")
         self.servers = self.members.servers  # those that may be sent to
         self.latency = LatencyAverages()
+        self.times = RequestTimes(settings, self.latency, self.time_share)
         self.quotas = Quotas()
         self.safety = RetrySafety(settings)
         self.budget = RetryBudget(settings)
@@ -67,7 +70,7 @@
         self.selection = ServerSelection(
             rng, self.members, self.subset, self.safety, self.outliers, self.slow_start
         )
-        self.timers = Timers(settings.tick, self.requests, self._set_timer, self._reject_or_fail)
+        self.timers = Timers(settings.tick, self.requests, self._set_timer, self._on_expired)
         self._configure(0, events.SettingsChanged(settings))
         self._handlers: dict[type, Callable[[int, Any], None]] = {
             events.RequestReceived: self._on_request_received,
@@ -101,7 +104,7 @@
         self.settings = settings = event.settings
         self.safety.settings = self.budget.settings = self.admission.settings = settings
         self.shedding.settings = self.subset.settings = settings
-        self.slow_start.settings = self.endpoints.settings = settings
+        self.slow_start.settings = self.endpoints.settings = self.times.settings = settings
         every, tenants = SECOND_US * settings.replica_count, settings.tenants
         self.quotas.configure({t.name: every / t.quota_per_s for t in tenants if t.quota_per_s})
         self.classes = {klass.name: klass for klass in settings.classes}
@@ -138,7 +141,7 @@
     def _fail_stranded(self, oldest: float) -> None:
         for request in [r for r in self.requests.values() if r.attempts and not r.in_flight]:
             if request.list_version < oldest:
-                self._reject_or_fail(request)
+                self._reject_or_fail(request, UnservedReason.SERVERS_GONE)
 
     def _on_zone_weights(self, now: int, event: events.ZoneWeights) -> None:
         self.subset.weigh_zones(event, now)
@@ -180,23 +183,24 @@
 
     def _on_request_received(self, now: int, event: events.RequestReceived) -> None:
         if (klass := self.classes.get(event.class_name)) is None:
-            self._actions.append(actions.FailRequest(event.request_id))
+            unknown = UnservedReason.UNKNOWN_CLASS
+            self._actions.append(actions.FailRequest(event.request_id, unknown))
             return
         request = OpenRequest(event.request_id, klass, event.tenant, now, event.streamed)
         self.requests[request.id] = request
         self._review(now)
-        self._set_times(request, event.time_left, now)
+        self.times.set(request, event.time_left, now)
         latency = self.latency[klass.name]
         latency.arrivals += 1
         request.over_quota = not (self.settings.tier or self.quotas.take(request.tenant, now))
         if self.shedding.rejects(request, event.key):
-            self._reject_or_fail(request, shed=True)
+            self._reject_or_fail(request, UnservedReason.SHED)
             return
         share = self.settings.over_quota_weight if request.over_quota else 1.0
         value = klass.priority_weight * share / max(1.0, latency.mean)
         request.value = self.admission.usual_value.relative(value)
         if request.expires_at <= now:
-            self._reject_or_fail(request)
+            self._reject_or_fail(request, UnservedReason.OUT_OF_TIME)
             return
         if request.streamed:
             request.expires_at = now + UPLOAD_US
@@ -206,19 +210,11 @@
             self._enqueue(request, now, front=False)
             self._dispatch(now)
 
-    def _set_times(self, request: OpenRequest, time_left: int, now: int) -> None:
-        """Set when an answer is late, and when it is worth nothing: waiting only wastes work."""
-        klass = request.klass
-        useful = klass.deadline if klass.late_weight > 0 else klass.latency_objective
-        left = min(time_left, int(useful * self.time_share)) - 2 * self.settings.tick
-        request.expires_at = now + max(0, left)
-        request.objective_at = now + int(klass.latency_objective * self.time_share)
-
     def _on_request_body_sent(self, now: int, event: events.RequestBodySent) -> None:
         """Count the time of a request whose body went on as it came from now."""
         if (request := self.requests.get(event.request_id)) and request.in_flight:
             request.attempts[-1].sent_at = now
-            self._set_times(request, event.time_left, now)
+            self.times.set(request, event.time_left, now)
             self.timers.expire_at(now, request.expires_at, request.id)
 
     def _send(self, request: OpenRequest, now: int) -> bool:
@@ -231,7 +227,7 @@
     def _start(self, request: OpenRequest, server: Server, now: int) -> None:
         """Start an attempt at this server; the last look at whether it is allowed is here."""
         if not self.safety.allows_attempt(request, server, now):
-            self._reject_or_fail(request)
+            self._reject_or_fail(request, UnservedReason.RETRY_UNSAFE)
             return
         number = len(request.attempts)
         begin_within = self.safety.begin_within(request, now)
@@ -313,12 +309,14 @@
         cost = UNSEEN_RETRY_COST if request.attempts[-1].result in NEVER_RAN else 1.0
         backoff = request.klass.latency_objective / BACKOFF_DIVISOR * 2 ** (request.failures - 1)
         delay = backoff * self.random.uniform(0.5, 1.5)
-        in_time = now + delay < request.expires_at
-        allowed = in_time and self.safety.allows_attempt(request, None, now)
-        if allowed and self.budget.take(now, request.tenant, cost):
-            self.timers.call_later(now, delay, lambda then: self._retry_now(request, then))
+        if now + delay >= request.expires_at:
+            self._reject_or_fail(request, UnservedReason.NO_TIME_FOR_RETRY)
+        elif not self.safety.allows_attempt(request, None, now):
+            self._reject_or_fail(request, UnservedReason.RETRY_UNSAFE)
+        elif not self.budget.take(now, request.tenant, cost):
+            self._reject_or_fail(request, UnservedReason.RETRY_BUDGET)
         else:
-            self._reject_or_fail(request)
+            self.timers.call_later(now, delay, lambda then: self._retry_now(request, then))
 
     def _retry_now(self, request: OpenRequest, now: int) -> None:
         if request.id in self.requests and not request.in_flight and not request.queued:
@@ -331,26 +329,27 @@
         if self.safety.allows_attempt(request, None, now):
             self._enqueue(request, now, front=True)
         else:
-            self._reject_or_fail(request)
+            self._reject_or_fail(request, UnservedReason.RETRY_UNSAFE)
         return False
 
     def _enqueue(self, request: OpenRequest, now: int, *, front: bool) -> None:
         """Let a request wait; it is rejected once late, while its client can still retry."""
         self.admission.waiting.push(request.queue_key(), request, front=front)
         if excess := self.admission.excess_request():
-            self._reject_or_fail(excess)  # at once: its client can come again while that is of use
-        delay = self._latest_dispatch(request) - now
+            # At once: its client can come again while that is of use.
+            self._reject_or_fail(excess, UnservedReason.QUEUE_FULL)
+        delay = self.times.latest_dispatch(request) - now
         self.timers.call_later(now, delay, lambda then: self._reject_late(request, then))
 
     def _reject_late(self, request: OpenRequest, now: int) -> None:
-        if request.queued and now >= self._latest_dispatch(request):
-            self._reject_or_fail(request)
+        if request.queued and now >= self.times.latest_dispatch(request):
+            self._reject_or_fail(request, UnservedReason.WAITED_TOO_LONG)
 
     def _dispatch(self, now: int) -> None:
         """Send waiting requests while the limit admits them."""
         while request := self.admission.next_request(now):
-            if now >= self._latest_dispatch(request):
-                self._reject_or_fail(request)
+            if now >= self.times.latest_dispatch(request):
+                self._reject_or_fail(request, UnservedReason.WAITED_TOO_LONG)
             elif not self._send_or_enqueue(request, now):
                 return
         if self.admission.waiting.count and not self._resuming and not self.admission.in_flight:
@@ -361,23 +360,20 @@
         self._resuming = False
         self._dispatch(now)
 
-    def _latest_dispatch(self, request: OpenRequest) -> int:
-        """Return when a request must go to meet its objective, or if tried before, to be served."""
-        latency = self.latency[request.klass.name]
-        if self.settings.tier or request.attempts:
-            return request.expires_at - int(latency.mean)
-        return request.objective_at - int(latency.mean + latency.deviation)
+    def _on_expired(self, request: OpenRequest) -> None:
+        self._reject_or_fail(request, UnservedReason.OUT_OF_TIME)
 
-    def _reject_or_fail(self, request: OpenRequest, *, shed: bool = False) -> None:
+    def _reject_or_fail(self, request: OpenRequest, reason: UnservedReason) -> None:
         """Give the final answer, if owed: rejected where that is a promise we can keep."""
         if request.id not in self.requests:
             return
         if self.safety.allows_rejection(request):
             mean = self.latency[request.klass.name].mean
+            shed = reason is UnservedReason.SHED
             wait = self.shedding.retry_after(request, mean, self.admission.in_flight, shed=shed)
-            self._actions.append(actions.RejectRequest(request.id, wait))
+            self._actions.append(actions.RejectRequest(request.id, wait, reason))
         else:
-            self._actions.append(actions.FailRequest(request.id))
+            self._actions.append(actions.FailRequest(request.id, reason))
         self._forget(request)
 
     def _on_client_disconnected(self, now: int, event: events.ClientDisconnected) -> None:
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -23,6 +23,7 @@
         "oakbridge/policy/membership.py",
         "oakbridge/policy/outlier_detection.py",
         "oakbridge/policy/poll_backoff.py",
+        "oakbridge/policy/request_times.py",
         "oakbridge/policy/retry_budget.py",
         "oakbridge/policy/retry_safety.py",
         "oakbridge/policy/server_selection.py",
