--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -128,7 +128,7 @@
             if self.config.saved_list is not None:
                 listing = parse_endpoint_list(self.config.saved_list)
                 if isinstance(self.source, DiscoverySource):
-                    self.source.index = listing.index
+                    self.source.use_saved_index(listing.index)
         except EndpointListError as e:
             self.server.close()
             raise ConfigError(f"known: {e}") from None
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -244,8 +244,11 @@
     run(scenario())
 
 
-def test_discovery_that_fails_in_an_unforeseen_way_is_a_lost_watch():
-    """Guards against a watch that ends untold, which would hide every drain from then on."""
+def test_a_list_that_could_not_be_applied_is_asked_for_again():
+    """Guards against a watch that ends untold, which would hide every drain from then on.
+
+    And against a list that counts as read although it is not in use.
+    """
 
     async def scenario():
         async with Running() as node:
@@ -260,7 +263,11 @@
 
             node.node.source._on_list = fails_once
             node.registry.put(listing(2))
+            assert "since=1&" in (await soon(node.registry.seen.get())).url
+            assert node.node.source.list_age_us() is None
+            node.registry.put(listing(2))
             assert "since=2&" in (await soon(node.registry.seen.get())).url
+            assert len(calls) == 2
 
     run(scenario())
 
