--- a/oakbridge/agent/config.py
+++ b/oakbridge/agent/config.py
@@ -7,10 +7,11 @@
 from pathlib import Path
 from typing import Any
 
-from oakbridge.agent.errors import AgentConfigError, StoreError
+from oakbridge.agent.errors import AgentConfigError, AgentConfigUnreadableError, StoreError
 from oakbridge.agent.generations import check_name
 from oakbridge.node.address import Address, parse_address
 from oakbridge.node.errors import ConfigError
+from oakbridge.node.system_errors import is_read_error
 
 MAX_INSTANCES = 200
 KEYS = (
@@ -53,11 +54,13 @@
 
     Raises:
         AgentConfigError: with every mistake.
+        AgentConfigUnreadableError: where reading fails for a moment.
     """
     try:
         document = tomllib.loads(path.read_text("utf-8"))
     except OSError as e:
-        raise AgentConfigError([f"{path}: {e.strerror}"]) from None
+        kind = AgentConfigUnreadableError if is_read_error(e) else AgentConfigError
+        raise kind([f"{path}: {e.strerror}"]) from None
     except (UnicodeDecodeError, tomllib.TOMLDecodeError) as e:
         raise AgentConfigError([f"{path}: expected TOML: {e}"]) from None
     parser = _Parser(document)
--- a/oakbridge/agent/errors.py
+++ b/oakbridge/agent/errors.py
@@ -69,3 +69,7 @@
         """``problems``: one line for each mistake."""
         super().__init__("\n".join(problems))
         self.problems = problems
+
+
+class AgentConfigUnreadableError(AgentConfigError):
+    """``agent.toml`` can't be read at the moment; the same call may succeed soon."""
--- a/oakbridge/agent/node_process.py
+++ b/oakbridge/agent/node_process.py
@@ -15,6 +15,7 @@
 from typing import BinaryIO
 
 from oakbridge.agent.host import ExitCallback, NodeLaunch
+from oakbridge.node.system_errors import is_resource_error
 
 log = logging.getLogger(__name__)
 
@@ -27,14 +28,17 @@
 def listener_pid(path: Path) -> int | None:
     """Return the process that listens on a control socket, as the kernel has it, or None.
 
-    Raises OSError if no socket can be made to ask.
+    Raises OSError where that can't be told for a moment: a node that runs must not be taken for none.
     """
     with socket.socket(socket.AF_UNIX) as probe:
         probe.settimeout(CONNECT_TIMEOUT_S)
         try:
             probe.connect(str(path))
             raw = probe.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, PEER_CREDENTIALS.size)
-        except OSError:
+        except OSError as error:
+            is_queue_full = isinstance(error, BlockingIOError)  # of a node that hangs
+            if is_resource_error(error) and not is_queue_full:
+                raise
             return None
     pid, _, _ = PEER_CREDENTIALS.unpack(raw)
     return int(pid)
--- a/oakbridge/agent/startup.py
+++ b/oakbridge/agent/startup.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from oakbridge.agent.errors import StoreUnavailableError
+from oakbridge.agent.errors import AgentConfigUnreadableError, StoreUnavailableError
 
 log = logging.getLogger(__name__)
 
@@ -20,14 +20,15 @@
 def retry_while_unavailable(call: Callable[[], T]) -> T:
     """Return what a call returns, made again while the disk fails.
 
-    Blocks: for the start of an agent.  Raises StoreUnavailableError after :data:`PATIENCE_S`.
+    Blocks: for the start of an agent.  Raises StoreUnavailableError or AgentConfigUnreadableError
+    after :data:`PATIENCE_S`.
     """
     give_up_at = time.monotonic() + PATIENCE_S
     logged = False
     while True:
         try:
             return call()
-        except StoreUnavailableError as error:
+        except (StoreUnavailableError, AgentConfigUnreadableError) as error:
             if time.monotonic() >= give_up_at:
                 raise
             if not logged:
--- a/oakbridge/cli/agent.py
+++ b/oakbridge/cli/agent.py
@@ -62,7 +62,7 @@
 def command(path: Path, log_format: str) -> None:
     """Run the nodes of this host, and answer the fleet's operators; nodes outlive their agent."""
     try:
-        config = read_agent_config(path)
+        config = retry_while_unavailable(lambda: read_agent_config(path))
         start_logs(log_format, agent=config.name)
         tls = tls_context(config.authority, config.certificate, server=True)
         store = retry_while_unavailable(lambda: Store(config.state))
--- a/oakbridge/handover/channel.py
+++ b/oakbridge/handover/channel.py
@@ -134,10 +134,10 @@
                 return
             try:
                 received = socket.recv_fds(self._sock, MAX_PACKET_BYTES, MAX_DESCRIPTORS)
-            except BlockingIOError:
-                return
-            except OSError:
-                self._disconnect()
+            except OSError as error:
+                # Nothing has come, or what came can't be read for a moment: the loop calls again.
+                if error.errno not in RESOURCE_ERRORS:
+                    self._disconnect()
                 return
             packet, descriptors, flags, _ = received
             self._received_descriptors += descriptors
--- a/oakbridge/handover/predecessor.py
+++ b/oakbridge/handover/predecessor.py
@@ -39,11 +39,13 @@
 from oakbridge.node.accepting import ACCEPT_RETRY_US, AcceptStatus
 from oakbridge.node.discovery import DiscoverySource
 from oakbridge.node.node import Node
+from oakbridge.node.system_errors import is_resource_error
 from oakbridge.policy import state as policy_state
 
 log = logging.getLogger(__name__)
 
 LOAD_REPORT_INTERVAL_S = 0.02
+LISTEN_RETRY_S = 0.2
 US_PER_S = 1e6
 
 
@@ -61,6 +63,7 @@
         self._loop = asyncio.get_running_loop()
         self._machine = PredecessorStateMachine(node.config.name)
         self._listener: UnixListener | None = None
+        self._listen_again: asyncio.TimerHandle | None = None
         self._channel: Channel | None = None  # to the successor, or to a process that asks to be it
         self._lists = SharedLists(node, lambda: self._machine.relays_lists, self._send)
 
@@ -68,11 +71,14 @@
         """Listen for a successor.
 
         A node that can't listen still serves: by SO_REUSEPORT a successor can listen beside it.
+        Meanwhile it tries again, where the failure may pass.
         """
         try:
             self._listener = UnixListener(self._path)
         except OSError as e:
             log.warning("hot restart unavailable: path=%s error=%s", self._path, e.strerror)
+            if is_resource_error(e):
+                self._listen_again = self._loop.call_later(LISTEN_RETRY_S, self.listen)
             return
         self._watch_listener()
 
@@ -83,6 +89,8 @@
 
     def close(self) -> None:
         """Stop listening, and close the channel to the successor."""
+        if self._listen_again is not None:
+            self._listen_again.cancel()
         if self._listener is not None:
             self._loop.remove_reader(self._listener)
             self._listener.close()
--- a/oakbridge/handover/unix_socket.py
+++ b/oakbridge/handover/unix_socket.py
@@ -17,6 +17,7 @@
 MAX_ADDRESS_BYTES = 100  # a Unix address holds 107
 MAX_NAME_CHARACTERS = 64  # of the node's name in that of the socket
 BACKLOG = 4
+CONNECT_PATIENCE_S = 1.0  # with a connect that fails for a moment; then it counts as none listens
 
 
 def socket_path(node_name: str, folder: str | None = None) -> Path:
@@ -74,8 +75,8 @@
         return None
     sock = retry_resource_errors(_unix_socket, "making a socket to the predecessor")
     try:
-        with _short_address(path) as address:
-            sock.connect(address)
+        what = "connecting to the predecessor"
+        retry_resource_errors(lambda: _connect(sock, path), what, CONNECT_PATIENCE_S)
     except OSError as e:
         sock.close()
         log.info("no predecessor listens: path=%s error=%s", path.name, e.strerror)
@@ -83,6 +84,11 @@
     return sock
 
 
+def _connect(sock: socket.socket, path: Path) -> None:
+    with _short_address(path) as address:
+        sock.connect(address)
+
+
 def _unix_socket() -> socket.socket:
     return socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_NONBLOCK)
 
--- a/oakbridge/node/startup.py
+++ b/oakbridge/node/startup.py
@@ -26,13 +26,13 @@
 HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 
-def retry_resource_errors(call: Callable[[], T], what: str) -> T:
+def retry_resource_errors(call: Callable[[], T], what: str, patience_s: float = PATIENCE_S) -> T:
     """Return what a call returns, made again while resources are short.
 
     Blocks: for the start of a process, not for one that serves.  Raises OSError: one that does not
-    pass, or the last one after :data:`PATIENCE_S`.
+    pass, or the last one after ``patience_s``.
     """
-    give_up_at = time.monotonic() + PATIENCE_S
+    give_up_at = time.monotonic() + patience_s
     logged = False
     while True:
         try:
