Check what discovery answers further, tell each mistake with its place, and bound the answer's size

Cause: weights that are no number or negative, ports of 0, starts beyond any time, negative versions, names with line breaks and names given twice came into use; an endless head was read until the call's time was up. Change: each is refused with its place (endpoints[3].weight); the list before it stays. An answer may have 5 MB with its head. Among changes a name may still come twice: the last one counts.

--- a/oakbridge/node/discovery_http.py
+++ b/oakbridge/node/discovery_http.py
@@ -21,6 +21,7 @@
 log = logging.getLogger(__name__)
 
 MAX_LIST_BYTES = 4 * 1024 * 1024
+MAX_RESPONSE_BYTES = MAX_LIST_BYTES + 1024 * 1024  # with its head, and the lengths of its chunks
 READ_BYTES = 64 * 1024
 STALL_TIMEOUT_S = 0.5  # between two parts of a response
 CONNECT_RETRY_S = 0.02  # after a connection that failed on this machine
@@ -114,11 +115,15 @@
     A node that waited for the rest until the end of its watch would learn of a change too late.
     """
     response = _Response()
+    received = 0
     while not response.complete:
         async with asyncio.timeout(STALL_TIMEOUT_S if response.begun_at else None):
             data = await reader.read(READ_BYTES)
         if not data:
             raise EndpointListError("the connection ended before the answer did")
+        received += len(data)
+        if received > MAX_RESPONSE_BYTES:
+            raise EndpointListError(f"an answer of more than {MAX_RESPONSE_BYTES} bytes")
         response.begun_at = response.begun_at or asyncio.get_running_loop().time()
         try:
             response.parser.feed_data(data)
--- a/oakbridge/node/endpoint_list_json.py
+++ b/oakbridge/node/endpoint_list_json.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from typing import Any
 
-from oakbridge.node.address import parse_address
+from oakbridge.node.address import MAX_PORT, Address, parse_address
 from oakbridge.node.endpoint_list import NO_ADDRESS, EndpointList, ListedEndpoint
 from oakbridge.node.errors import ConfigError, EndpointListError
 from oakbridge.policy.events import Endpoint, EndpointState
 
 US_PER_MS = 1000
+MAX_INDEX = 2**63 - 1
+MAX_NAME_LENGTH = 1024
+MAX_WEIGHT = 1e12
+MAX_SINCE_MS = 2**53  # Unix time, some 285,000 years on
 
 JsonObject = dict[str, Any]
 
@@ -27,14 +32,25 @@
     if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
         raise EndpointListError("expected an object with a list of endpoints")
     index = _number(raw.get("index"), int, "index")
-    try:
-        endpoints = [_parse_endpoint(one) for one in raw["endpoints"]]
-    except (
-        OverflowError,
-        ValueError,
-    ) as e:  # also not-a-number and infinity, which JSON's reader lets in
-        raise EndpointListError(str(e)) from None
-    return EndpointList(index, bool(raw.get("snapshot", False)), endpoints)
+    if not 0 <= index <= MAX_INDEX:
+        raise EndpointListError(
+            f"index: expected a number from 0 to {MAX_INDEX}, got {index!r:.80}"
+        )
+    endpoints = [_parse_endpoint(one, number) for number, one in enumerate(raw["endpoints"])]
+    new = EndpointList(index, bool(raw.get("snapshot", False)), endpoints)
+    if new.complete:
+        _check_names_once(new)
+    return new
+
+
+def _check_names_once(new: EndpointList) -> None:
+    """Refuse a complete list that names a server twice; among changes the last one counts."""
+    names = Counter(endpoint.server.id for endpoint in new.endpoints)
+    if len(names) < len(new.endpoints):
+        [(name, count)] = names.most_common(1)
+        raise EndpointListError(
+            f"endpoints: expected each name once, got {name!r:.80} {count} times"
+        )
 
 
 def encode_endpoint_list(index: int, endpoints: Iterable[ListedEndpoint]) -> JsonObject:
@@ -60,32 +76,51 @@
     }
 
 
-def _parse_endpoint(raw: Any) -> ListedEndpoint:
+def _parse_endpoint(raw: Any, number: int) -> ListedEndpoint:
     """Parse one endpoint; its start is Unix time, which the node's clock counts in as well."""
+    where = f"endpoints[{number}]"
     if not isinstance(raw, dict):
-        raise EndpointListError(f"endpoints: expected objects, got {raw!r:.80}")
+        raise EndpointListError(f"{where}: expected an object, got {raw!r:.80}")
     name, state = raw.get("name"), raw.get("status", "ready")
-    if not isinstance(name, str) or not name:
-        raise EndpointListError(f"name: expected a string, got {name!r:.80}")
+    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME_LENGTH or not name.isprintable():
+        expected = f"expected a printable text of 1 to {MAX_NAME_LENGTH} characters"
+        raise EndpointListError(f"{where}.name: {expected}, got {name!r:.80}")
     if not isinstance(state, str) or state not in _STATE_BY_NAME:
-        raise EndpointListError(f"status: expected ready, draining or gone, got {state!r:.80}")
-    since_ms = _number(raw.get("since_ms", 0), (int, float), "since_ms")
-    weight = _number(raw.get("weight", 1.0), (int, float), "weight")
-    cell = _number(raw.get("group", 0), int, "group")
+        raise EndpointListError(
+            f"{where}.status: expected ready, draining or gone, got {state!r:.80}"
+        )
+    since_ms = _number(raw.get("since_ms", 0), (int, float), f"{where}.since_ms")
+    if not abs(since_ms) <= MAX_SINCE_MS:  # not-a-number is neither
+        raise EndpointListError(
+            f"{where}.since_ms: expected milliseconds of Unix time, got {since_ms!r:.80}"
+        )
+    weight = _number(raw.get("weight", 1.0), (int, float), f"{where}.weight")
+    if not 0 <= weight <= MAX_WEIGHT:  # not-a-number is neither
+        raise EndpointListError(
+            f"{where}.weight: expected a number from 0 to {MAX_WEIGHT:.0f}, got {weight!r:.80}"
+        )
+    cell = _number(raw.get("group", 0), int, f"{where}.group")
     zone = str(raw.get("zone") or "")
     server = Endpoint(
         name, _STATE_BY_NAME[state], zone, cell, float(weight), int(since_ms * US_PER_MS)
     )
     try:
-        address = parse_address(raw.get("address"))
+        address = _parse_server_address(raw.get("address"))
     except ConfigError as e:
         if server.state == EndpointState.GONE:  # nothing is sent there: its address does not matter
             return ListedEndpoint(server, NO_ADDRESS)
-        raise EndpointListError(f"address: {e}") from None
+        raise EndpointListError(f"{where}.address: {e}") from None
     server.address = f"{address[0]}:{address[1]}"
     return ListedEndpoint(server, address)
 
 
+def _parse_server_address(text: object) -> Address:
+    address = parse_address(text)
+    if not address[1]:
+        raise ConfigError(f"expected a port from 1 to {MAX_PORT}, got {text!r:.80}")
+    return address
+
+
 def _number(value: Any, kind: type | tuple[type, ...], what: str) -> Any:
     if isinstance(value, bool) or not isinstance(value, kind):
         raise EndpointListError(f"{what}: expected a number, got {value!r:.80}")
--- a/tests/node/test_endpoint_list_json.py
+++ b/tests/node/test_endpoint_list_json.py
@@ -24,6 +24,18 @@
         listing(2, endpoint("s", 99_999)),
         listing(2, endpoint("s", 1) | {"since_ms": float("nan")}),
         listing(2, endpoint("s", 1) | {"weight": "big"}),
+        listing(2, endpoint("s", 1) | {"weight": float("nan")}),
+        listing(2, endpoint("s", 1) | {"weight": float("inf")}),
+        listing(2, endpoint("s", 1) | {"weight": 10**400}),
+        listing(2, endpoint("s", 1) | {"weight": -1}),
+        listing(2, endpoint("s", 1) | {"since_ms": float("inf")}),
+        listing(2, endpoint("s", 1) | {"since_ms": 10**400}),
+        listing(2, endpoint("s", 0)),
+        listing(2, endpoint("s\r\nt", 1)),
+        listing(2, endpoint("s" * 2000, 1)),
+        listing(2, endpoint("s", 1), endpoint("t", 2), endpoint("s", 3)),
+        listing(-2),
+        listing(2**63),
     ],
 )
 def test_list_that_can_not_be_read_is_refused_as_a_whole(raw):
@@ -43,3 +55,16 @@
     assert got.endpoints[0].address == ("127.0.0.1", 80)
     assert got.endpoints[0].server.started_at == 1_700_000_000_000_000
     assert [e.server.state for e in got.endpoints] == [EndpointState.UP, EndpointState.GONE]
+
+
+def test_mistake_is_told_with_its_place():
+    raw = listing(2, endpoint("s", 1), endpoint("t", 2) | {"weight": -1})
+    with pytest.raises(EndpointListError, match=r"endpoints\[1\]\.weight: expected .* got -1"):
+        parse_endpoint_list(raw)
+
+
+def test_of_two_changes_of_a_server_the_last_one_counts():
+    raw = listing(2, endpoint("s", 1), endpoint("s", 1, "draining"), whole=False)
+    known = {}
+    parse_endpoint_list(raw).apply_to(known)
+    assert known["s"].server.state == EndpointState.DRAINING
