Tell operators the age of discovery's list, when it is due anew, and which call failed last

Cause: status said only that the list comes from discovery; whether it was up to date could be read from the log alone, and from no page what the lines mean.

--- a/oakbridge/cli/status.py
+++ b/oakbridge/cli/status.py
@@ -75,6 +75,8 @@
 
 def _source_lines(source: dict[str, Any]) -> list[str]:
     """Return where the list of servers comes from, then why nothing newer is in use."""
+    if "age_s" in source:
+        return _discovery_lines(source)
     lines = [f"{source['kind']} {source.get('path', '')}".strip()]
     if (used := source.get("used")) is not None:
         lines[0] += (
@@ -92,6 +94,25 @@
     return lines
 
 
+def _discovery_lines(source: dict[str, Any]) -> list[str]:
+    """Return how old the list is, then what was wrong last."""
+    line = f"discovery {source['address']}"
+    if source["age_s"] is None:
+        line += ", no list yet"
+    else:
+        version = source["version"]
+        line += ", the whole list is asked for" if version is None else f", version {version}"
+        line += f", up to date {source['age_s']:.1f} s ago"
+    if source["due_in_s"] is not None:
+        line += f", due anew in {source['due_in_s']:.1f} s"
+    lines = [f"{line}, calls out: {source['calls']}"]
+    if source["last_failure"]:
+        lines.append(
+            f"LAST FAILURE {source['last_failure_age_s']:.0f} s ago: {source['last_failure']}"
+        )
+    return lines
+
+
 def _short(digest: str) -> str:
     return digest[:SHORT_DIGEST_LENGTH]
 
--- a/oakbridge/control/handler.py
+++ b/oakbridge/control/handler.py
@@ -8,11 +8,13 @@
 
 from oakbridge import __version__
 from oakbridge.control.arguments import AcceptServerListArguments, StatusArguments
+from oakbridge.control.discovery_status import encode_discovery_status
 from oakbridge.control.errors import RequestRejectedError
 from oakbridge.control.peers import PeerDirectory, handle_peer_request
 from oakbridge.control.protocol import ControlCommand, JsonObject, Request
 from oakbridge.control.sites import SiteController, handle_site_request
 from oakbridge.control.status import NodeStatus, ResponseCounts, encode_status
+from oakbridge.node.discovery import DiscoverySource
 from oakbridge.node.node import Node
 from oakbridge.policy.view import view
 from oakbridge.sources.file_source import FileSource
@@ -96,6 +98,8 @@
         source = self._node.source
         if isinstance(source, FileSource):
             return source.describe()
+        if isinstance(source, DiscoverySource):
+            return encode_discovery_status(source.status())
         return {"kind": "inline" if isinstance(source, InlineSource) else "discovery"}
 
     def _describe_spread(self) -> JsonObject:
--- a/oakbridge/node/discovery.py
+++ b/oakbridge/node/discovery.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from oakbridge.node.address import Address
-from oakbridge.node.discovery_client import DiscoveryClient, ListRequest
+from oakbridge.node.discovery_client import DiscoveryClient, DiscoveryStatus, ListRequest
 from oakbridge.node.discovery_http import PollResponse, poll
 from oakbridge.node.endpoint_list import EndpointList
 from oakbridge.node.endpoint_source import EndpointListener
@@ -74,6 +74,10 @@
         """Return how long ago the list was known to be up to date; None if none has come."""
         return self._client.list_age_us(self._loop.time())
 
+    def status(self) -> DiscoveryStatus:
+        """Return what is known of discovery, for operators."""
+        return self._client.status(self._loop.time())
+
     def start(self) -> None:
         """Listen to the agent where lists are pushed; elsewhere the balancer starts a watch."""
         if self._pushed:
@@ -169,11 +173,12 @@
     def _on_failure(self, request: ListRequest, error: Exception) -> None:
         now = self._loop.time()
         failure = failure_of(error)
-        self._client.on_failure(request, failure, now)
+        detail = str(error) or type(error).__name__
+        self._client.on_failure(request, failure, now, detail)
         expected = isinstance(error, EndpointListError | OSError)  # a time-out is one of the latter
         log.warning(
             "discovery is lost: %s (%s call, %s after %.3f s; list %.1f s old; next call in %.3f s)",
-            str(error) or type(error).__name__,
+            detail,
             request.call.kind.value,
             failure.value,
             now - request.call.started_at,
--- a/oakbridge/node/discovery_client.py
+++ b/oakbridge/node/discovery_client.py
@@ -41,6 +41,19 @@
         return self.since == BEFORE_ALL_VERSIONS
 
 
+@dataclass(frozen=True, slots=True)
+class DiscoveryStatus:
+    """What is known of discovery, for operators.  Times in seconds."""
+
+    address: Address
+    version: int | None  # of the list in use; None if none is, or the next call asks for it whole
+    list_age_s: float | None  # since the list was known to be up to date; None if none has come
+    due_in_s: float | None  # until it has to be known anew; below 0: it is overdue
+    calls: int  # that are out
+    last_failure: str  # of a call, with its kind; "" if none has failed
+    last_failure_age_s: float | None
+
+
 class DiscoveryClient:
     """The list's version, and the calls that keep it up to date."""
 
@@ -52,9 +65,24 @@
         self._pushed = pushed
         self._needs_complete_list = False  # the next call asks for it
         self._is_stopped = False
+        self._last_failure = ""
+        self._last_failure_at = -math.inf
 
     # ---- what is known
 
+    def status(self, now: float) -> DiscoveryStatus:
+        """Return what is known of discovery."""
+        has_failed = bool(self._last_failure)
+        return DiscoveryStatus(
+            address=self._address,
+            version=None if self.index == BEFORE_ALL_VERSIONS else self.index,
+            list_age_s=self._schedule.age_s(now) if self.has_list else None,
+            due_in_s=self._schedule.due_at() - now if self._schedule.is_running else None,
+            calls=self._schedule.calls_out,
+            last_failure=self._last_failure,
+            last_failure_age_s=now - self._last_failure_at if has_failed else None,
+        )
+
     @property
     def has_list(self) -> bool:
         """Whether any list has come."""
@@ -164,6 +192,13 @@
         """
         return request.since != self.index and index < self.index
 
-    def on_failure(self, request: ListRequest, failure: Failure, now: float) -> None:
-        """Take the failure of a call: its own, or that its list can't be applied."""
+    def on_failure(
+        self, request: ListRequest, failure: Failure, now: float, detail: str = ""
+    ) -> None:
+        """Take the failure of a call: its own, or that its list can't be applied.
+
+        ``detail``: what an operator is told of it.
+        """
+        self._last_failure = f"{request.call.kind.value} call {failure.value}: {detail}"
+        self._last_failure_at = now
         self._schedule.on_failure(request.call, now, failure)
--- a/oakbridge/node/list_refresh.py
+++ b/oakbridge/node/list_refresh.py
@@ -131,6 +131,15 @@
         """Return the age of the list; infinity if none has come."""
         return now - self.fresh_at
 
+    def due_at(self) -> float:
+        """Return when the list has to be known anew."""
+        return self._counted_from + self._bound_s
+
+    @property
+    def calls_out(self) -> int:
+        """How many calls are out."""
+        return len(self._calls)
+
     # ---- what happens
 
     def start(self, now: float) -> None:
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from peers import SETTINGS, Peer, Registry, Running, endpoint, listing, reply, run, soon
+from peers import SETTINGS, Peer, Registry, Running, endpoint, listing, reply, run, soon, until
 
 from oakbridge.node import list_refresh
 from oakbridge.node.discovery_http import STALL_TIMEOUT_S
@@ -289,3 +289,26 @@
             assert node.registry.seen.empty()
 
     run(scenario())
+
+
+def test_status_tells_the_lists_age_what_is_due_and_what_failed_last():
+    async def scenario():
+        async with Peer(lambda _: reply(200)) as peer, Running(peer, settings=TEN) as node:
+            source = node.node.source
+            await soon(node.registry.seen.get())
+            before = source.status()
+            assert (before.list_age_s, before.calls, before.last_failure) == (None, 1, "")
+            node.registry.put(listing(4, whole=False))
+            await soon(node.registry.seen.get())
+            told = source.status()
+            assert (told.version, told.calls) == (4, 1)
+            assert 0 <= told.list_age_s < 1.0
+            assert 5.0 < told.due_in_s <= 6.0
+            node.registry.put(reply(500))
+            await until(lambda: source.status().last_failure)
+            failed = source.status()
+            assert failed.last_failure == "renewal call refused: discovery answered 500"
+            assert failed.last_failure_age_s < 1.0
+            assert failed.calls == 0
+
+    run(scenario())
