--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -246,3 +247,44 @@
     """Wait for a line of the node's log."""
     while word not in (line := await soon(process.stderr.readline())):
         assert line, "the node has ended"
+
+
+def ignores_hangups(pid: int) -> bool:
+    """Whether the kernel throws a process's SIGHUP away."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    [ignored] = [line.split()[1] for line in status.splitlines() if line.startswith("SigIgn:")]
+    return bool(int(ignored, 16) & 1 << (signal.SIGHUP - 1))
+
+
+def test_hangups_during_the_interpreters_start_end_no_node(tmp_path):
+    """Guards against a reload that ends a process which has no handler for it yet."""
+    deployed = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    assert "exec .venv/bin/python " in deployed
+    command = deployed.replace(".venv/bin/python", sys.executable)
+    [port] = free_ports(1)
+    given = written(tmp_path / "c.json", raw_config(listen=f"127.0.0.1:{port}"))
+
+    async def scenario():
+        process = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", command, cwd=ROOT, env=os.environ | given, stderr=subprocess.DEVNULL
+        )
+        try:
+            async with asyncio.timeout(LIMIT):
+                while "python" not in Path(f"/proc/{process.pid}/exe").readlink().name:
+                    await asyncio.sleep(0.001)
+                assert ignores_hangups(process.pid)
+                while True:
+                    process.send_signal(signal.SIGHUP)
+                    assert process.returncode is None
+                    try:
+                        (await Caller.connect(port)).close()
+                        break
+                    except OSError:
+                        await asyncio.sleep(0.002)
+            process.send_signal(signal.SIGTERM)
+            assert await soon(process.wait()) == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+
+    run(scenario())
