--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -256,6 +256,10 @@
     return bool(int(ignored, 16) & 1 << (signal.SIGHUP - 1))
 
 
+def executable_name(pid: int) -> str:
+    return Path(f"/proc/{pid}/exe").readlink().name
+
+
 def test_hangups_during_the_interpreters_start_end_no_node(tmp_path):
     """Guards against a reload that ends a process which has no handler for it yet."""
     deployed = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
@@ -270,7 +274,7 @@
         )
         try:
             async with asyncio.timeout(LIMIT):
-                while "python" not in Path(f"/proc/{process.pid}/exe").readlink().name:
+                while "python" not in executable_name(process.pid):
                     await asyncio.sleep(0.001)
                 assert ignores_hangups(process.pid)
                 while True:
