--- a/tests/lab/test_discovery_model.py
+++ b/tests/lab/test_discovery_model.py
@@ -1,9 +1,12 @@
 """A node's list is up to date within its bound in every order of events, to a depth; planted faults are found."""
 
 import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 
-from oakbridge.lab.model_check.discovery_model import DiscoveryModel
-from oakbridge.lab.model_check.discovery_scenarios import GUARANTEED
+from oakbridge.lab.model_check.discovery_model import Budget, DiscoveryModel, Scenario
+from oakbridge.lab.model_check.discovery_scenarios import GUARANTEED, LOSS_S, NO_QUEUE
 from oakbridge.lab.model_check.explorer import Step, explore
 from oakbridge.node import list_refresh
 from oakbridge.node.discovery_client import DiscoveryClient
@@ -93,6 +96,25 @@
     assert 1 <= len(found.trace) <= longest_trace
 
 
+LONG_COURSES = Scenario(
+    Budget(12, moves=4, hold_ups=1, handovers=2, restarts=1, adoptions=1),
+    change_at=1.0,
+    answers_from=1.0 + LOSS_S,
+    outcomes=NO_QUEUE,
+)
+
+
+@given(st.data())
+@hypothesis_settings(max_examples=150, deadline=None, derandomize=True)
+def test_long_random_courses_keep_the_bound(data):
+    model = DiscoveryModel(LONG_COURSES)
+    state = model.initial()
+    while steps := list(model.steps(state)):
+        step = data.draw(st.sampled_from(steps), label="step")
+        assert not step.violation
+        state = step.state
+
+
 class Counter:
     """Counts to a number by steps of one and two."""
 
