--- a/tests/faults/test_node_faults.py
+++ b/tests/faults/test_node_faults.py
@@ -10,6 +10,7 @@
 from node_process import NodeProcess, node_settings
 from peers import Caller, Peer, reply, run, soon
 
+LAST_START = 15
 TRANSIENT_ACCEPT_ERRORS = [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ECONNABORTED]
 
 
@@ -293,3 +294,31 @@
                 assert await node.process.wait() == 0
 
     run(scenario())
+
+
+def test_sigterm_at_any_instant_of_a_start_or_a_reload_ends_the_process(tmp_path):
+    """Before the program handles signals nothing is owed, and the kernel's default ends it."""
+
+    async def end_at(number: int, delay_s: float, port: int) -> tuple[int | None, str]:
+        node = NodeProcess(tmp_path, [port], name=f"n{number}")
+        await node.start(wait=False)
+        if number == LAST_START:
+            await soon(node.ready())
+        await asyncio.sleep(delay_s)
+        for sent in (signal.SIGHUP, signal.SIGTERM) if number % 2 else (signal.SIGTERM,):
+            node.signal(sent)
+        async with asyncio.timeout(6.0):
+            await node.process.wait()
+        return node.process.returncode, node.log()
+
+    async def scenario():
+        async with Peer(lambda _: reply(200, b"served")) as peer:
+            ends = await asyncio.gather(
+                *(end_at(number, 0.06 * number, peer.port) for number in range(LAST_START + 1))
+            )
+        for code, log in ends:
+            assert code in (0, -signal.SIGTERM, -signal.SIGHUP), log
+            assert "Traceback" not in log, log
+        assert ends[LAST_START][0] == 0
+
+    run(scenario())
