Count an attempt's deadline and latest begin from the decision, not from its carrying out

Cause: a process that is held up between a decision and the attempt let it begin, and last, later by as much; a repeat could begin after a server had forgotten the first, where its window is short. Change: the dispatcher hands the event's time on, as for timers. Result: the new test failed before (100 ms late) and passes.

--- a/oakbridge/node/dispatcher.py
+++ b/oakbridge/node/dispatcher.py
@@ -36,8 +36,8 @@
 class RequestActions(Protocol):
     """Carries out the balancer's actions about requests that came in over HTTP."""
 
-    def send(self, action: SendAttempt) -> None:
-        """Send an attempt."""
+    def send(self, action: SendAttempt, decided_at: int) -> None:
+        """Send an attempt, whose times count from ``decided_at``."""
 
     def cancel(self, action: CancelAttempt) -> None:
         """Cancel an attempt."""
@@ -147,12 +147,12 @@
         if isinstance(action, SetTimer):
             self._set_timer(action, now)
         elif not self.fronts or not self._carried_out_by_front(action):
-            self._carry_out_here(action)
+            self._carry_out_here(action, now)
 
-    def _carry_out_here(self, action: Action) -> None:
+    def _carry_out_here(self, action: Action, now: int) -> None:
         match action:
             case SendAttempt():
-                self._requests.send(action)
+                self._requests.send(action, now)
             case RejectRequest():
                 self._requests.reject(action)
             case FailRequest():
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -174,8 +174,12 @@
 
     # ---- attempts out
 
-    def send(self, action: SendAttempt) -> None:
-        """Send an attempt to the server that the balancer picked."""
+    def send(self, action: SendAttempt, decided_at: int) -> None:
+        """Send an attempt to the server that the balancer picked.
+
+        Its times count from ``decided_at``: the process may have been held up since, and neither the
+        client nor a server that remembers a key has.
+        """
         request = self.requests.get(action.request_id)
         if request is None or request.attempt is not None:
             # Guards two rules: nothing is sent for what is over, and no two attempts are in flight
@@ -193,19 +197,19 @@
             self._forget(request)
             request.client.abort()
             return
-        number, now = request.attempts, self._clock.now()
+        number = request.attempts
         request.attempts = number + 1
-        forwarded = ForwardedAttempt(self, request, number, action.server, now)
+        forwarded = ForwardedAttempt(self, request, number, action.server, self._clock.now())
         request.attempt = Attempt(
             server=action.server,
             render=forwarded.render,
-            deadline=now + action.timeout,
+            deadline=decided_at + action.timeout,
             on_end=forwarded.on_end,
             number=number,
             on_response_start=forwarded.on_response_start,
             upload=request.streamed_body,
             on_request_sent=None if request.streamed_body is None else forwarded.on_request_sent,
-            start_by=now + action.start_within if action.start_within else None,
+            start_by=decided_at + action.start_within if action.start_within else None,
             is_wanted=forwarded.is_wanted,
         )
         self._pool.send(request.attempt)
--- a/tests/node/test_dispatcher.py
+++ b/tests/node/test_dispatcher.py
@@ -105,6 +105,33 @@
     run(scenario())
 
 
+def test_an_attempts_times_count_from_its_event_though_the_process_is_held_up_before_it_is_sent():
+    """Guards against a repeat that begins after a server has forgotten the first, or outlasts its request."""
+
+    class HeldUp(Script):
+        def handle(self, now: int, event: Event) -> list[Action]:
+            if isinstance(event, RequestReceived):
+                self.decided_at = now
+                time.sleep(0.1)
+                return [SendAttempt(1, "s-0", 5_000_000, 3_000_000)]
+            return []
+
+    async def scenario():
+        async with Peer(lambda _: reply(200)) as peer, Running(peer) as node:
+            node.node.dispatcher.balancer = script = HeldUp()
+            sent = []
+            send = node.node.pool.send
+            node.node.pool.send = lambda attempt: (sent.append(attempt), send(attempt))
+            caller = await node.caller()
+            caller.send()
+            assert (await caller.answer())[0] == 200
+            [attempt] = sent
+            assert attempt.deadline == script.decided_at + 5_000_000
+            assert attempt.start_by == script.decided_at + 3_000_000
+
+    run(scenario())
+
+
 def test_request_that_the_module_forgets_is_failed_when_its_time_is_up():
     async def scenario():
         async with Peer(lambda _: None) as peer, Running(peer) as node:
--- a/tests/sources/rewritten_files.py
+++ b/tests/sources/rewritten_files.py
@@ -154,13 +154,13 @@
             self.dropped += [(place, now) for place in before.values() if place not in kept]
             self.listed_times.append((now, kept - set(before.values())))
 
-        def recorded_send(action):
+        def recorded_send(action, decided_at):
             call, server = (
                 self.node.balancer.requests[action.request_id],
                 self.node.balancer.endpoints.known[action.server],
             )
             self.requests.append((call.list_version, action.server, server.address))
-            send(action)
+            send(action, decided_at)
 
         self.node.endpoints.on_endpoint_list, self.node.forwarder.send = (
             recorded_list,
