Let an attempt's deadline come after its request's end again

Cause: since an attempt's deadline was the very instant at which the balancer ends its request, and came first: the server counted as one that times out. Change: only the latest begin counts from the decision.

--- a/oakbridge/node/dispatcher.py
+++ b/oakbridge/node/dispatcher.py
@@ -37,7 +37,7 @@
     """Carries out the balancer's actions about requests that came in over HTTP."""
 
     def send(self, action: SendAttempt, decided_at: int) -> None:
-        """Send an attempt, whose times count from ``decided_at``."""
+        """Send an attempt, whose latest begin counts from ``decided_at``."""
 
     def cancel(self, action: CancelAttempt) -> None:
         """Cancel an attempt."""
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -177,8 +177,9 @@
     def send(self, action: SendAttempt, decided_at: int) -> None:
         """Send an attempt to the server that the balancer picked.
 
-        Its times count from ``decided_at``: the process may have been held up since, and neither the
-        client nor a server that remembers a key has.
+        Its latest begin counts from ``decided_at``: the process may have been held up since, and a
+        server that remembers a key has not.  Its deadline does not: the balancer's own timer ends
+        the request first, so that the server is not taken for one that times out.
         """
         request = self.requests.get(action.request_id)
         if request is None or request.attempt is not None:
@@ -197,13 +198,13 @@
             self._forget(request)
             request.client.abort()
             return
-        number = request.attempts
+        number, now = request.attempts, self._clock.now()
         request.attempts = number + 1
-        forwarded = ForwardedAttempt(self, request, number, action.server, self._clock.now())
+        forwarded = ForwardedAttempt(self, request, number, action.server, now)
         request.attempt = Attempt(
             server=action.server,
             render=forwarded.render,
-            deadline=decided_at + action.timeout,
+            deadline=now + action.timeout,
             on_end=forwarded.on_end,
             number=number,
             on_response_start=forwarded.on_response_start,
