Let no wait end the event loop for a descriptor closed while a change was owed

Cause: found by reading: a dial that is given up is closed before the loop unregisters it; a change that had failed before was then made again within select(), whose error ends the event loop. So did an epoll instance that could not be made anew for want of descriptors.

--- a/oakbridge/node/epoll_selector.py
+++ b/oakbridge/node/epoll_selector.py
@@ -13,6 +13,7 @@
 import select
 import selectors
 from collections.abc import Mapping
+from contextlib import suppress
 from typing import Any
 
 from oakbridge.node.system_errors import is_resource_error
@@ -111,7 +112,9 @@
     def _change_again(self) -> None:
         failed, self._failed = self._failed, set()
         for descriptor in failed:
-            self._change(descriptor)
+            # A wait must not end the event loop for one that was closed before it was unregistered.
+            with suppress(OSError):
+                self._change(descriptor)
 
     def _change(self, descriptor: int) -> None:
         """Tell the kernel what is waited for now, or have that be tried again."""
@@ -165,7 +168,10 @@
             if error.errno not in (errno.EBADF, errno.ENOENT):
                 self._failed.add(descriptor)
                 return
-            renewed = select.epoll()
+            try:
+                renewed = select.epoll()
+            except OSError:
+                return  # it is told again with the next wait
             self._epoll.close()
             self._epoll = renewed
             self._in_kernel.clear()
--- a/tests/node/test_epoll_selector.py
+++ b/tests/node/test_epoll_selector.py
@@ -161,6 +161,20 @@
         assert failing._epoll.poll(0, 10) == [(kept.fileno(), 1)]
 
 
+def test_a_descriptor_closed_while_a_change_is_owed_ends_no_wait(failing, pair):
+    """Guards against a dial that is given up, and closed, before the loop unregisters it."""
+    one, other = pair
+    failing._epoll.error = errno.ENOMEM
+    failing.register(one, READ)
+    number = one.fileno()
+    one.close()
+    failing._epoll.error = 0
+    assert ready(failing) == {}
+    assert number not in failing.get_map()
+    failing.register(other, WRITE)
+    assert ready(failing) == {other.fileno(): WRITE}
+
+
 def test_a_change_that_can_never_succeed_is_refused(failing, tmp_path):
     with (tmp_path / "file").open("wb") as file:
         with pytest.raises(PermissionError):
