--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,12 +18,12 @@
 from common.server import Server  # noqa: E402
 
 SERVERS = 12
-CLIENTS = 240  # each sends one request at a time
+CLIENTS = 200  # each sends one request at a time
 LENGTH_S = 15.0
 START_S = 3.0  # within which the clients begin
 WORK_S = (0.7, 1.0)
 REFUSED_WAIT_S = 0.5  # of a client before it sends another request
-BODY_BYTES = 500_000
+BODY_BYTES = 520_000
 SHORT_BODY_BYTES = 2_000  # without the disruption
 TIMEOUT_MS = 6000
 MEMORY_MB = 192
