Review case 2: a request that offers another protocol runs with an empty body

Cause: the review had tried odd forms of HTTP/1.1 only by reading. A request with "Connection: Upgrade" and "Upgrade: h2c" and a body goes to a server without its body, and is answered 200.

The stand-ins gain a digest of each body that a server ran, and requests with further headers.

--- a/review/common/http.py
+++ b/review/common/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 
@@ -70,6 +71,7 @@
     key: str = "",
     body: bytes | None = None,
     keyed: bool = False,
+    headers: Sequence[str] = (),
 ) -> bytes:
     """Return the bytes of a client's request: GET without a body, else POST."""
     lines = [
@@ -78,6 +80,7 @@
         f"X-Request-ID: {request_id}",
         f"X-Priority-Class: {class_name}",
         f"X-Timeout: {timeout_ms}m",
+        *headers,
     ]
     if key:
         lines.append(f"X-Route-Key: {key}")
--- a/review/common/load.py
+++ b/review/common/load.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from common.http import Message, read_message, request
@@ -44,7 +44,7 @@
     async def send(
         self, class_name: str, timeout_ms: int, *, body: bytes | None = None, keyed: bool = False
     ) -> Sent:
-        """Send a request and wait for its answer.
+        """Send a request on a kept connection, or on a new one, and wait for its answer.
 
         If the node closed a kept connection before it read the request, it is sent once more.
         """
@@ -58,6 +58,23 @@
         streams = await asyncio.open_connection("127.0.0.1", self._port)
         return self._answered(sent, await self._exchange(streams, text))
 
+    async def send_once(
+        self, class_name: str, timeout_ms: int, *, body: bytes, headers: Sequence[str]
+    ) -> Sent:
+        """Send a request on a connection of its own, which is closed after the answer."""
+        sent = Sent(next(self._ids), class_name, self._record.now(), timeout_ms)
+        text = request(sent.request_id, class_name, timeout_ms, body=body, headers=headers)
+        self.sent.append(sent)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+        try:
+            writer.write(text)
+            answer = await read_message(reader)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            answer = None
+        finally:
+            writer.close()
+        return self._answered(sent, answer)
+
     async def _exchange(
         self, streams: tuple[asyncio.StreamReader, asyncio.StreamWriter], text: bytes
     ) -> Message | None:
--- a/review/common/server.py
+++ b/review/common/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import random
 from collections.abc import Callable
 
@@ -11,6 +12,11 @@
 READ_LIMIT_BYTES = 1 << 20
 
 
+def digest(body: bytes) -> bytes:
+    """Return a short value that tells two bodies apart."""
+    return hashlib.blake2b(body, digest_size=16).digest()
+
+
 class Server:
     """Serves each request after some work.
 
@@ -28,6 +34,7 @@
         self.name = name
         self.port = 0
         self.runs: list[tuple[str, float]] = []  # request ids, and when each request came
+        self.digests: list[tuple[str, bytes]] = []  # request ids, and a digest of each body
         self._log = log
         self._draw = draw
         self._work_s = work_s
@@ -50,6 +57,7 @@
                     f"{self.name}: runs {request_id}, body of {len(request.body)} bytes"
                 )
                 self.runs.append((request_id, came_at))
+                self.digests.append((request_id, digest(request.body)))
                 await asyncio.sleep(self._draw.uniform(*self._work_s))
                 text = answer(200, f"{self.name} ran {request_id}".encode())
                 if self._write is None:
