Serve requests that offer another protocol as if no offer were made

What callers saw: a request with a body and an offer ("Connection: Upgrade", "Upgrade: h2c") ran with an empty body and was answered 200. On a kept connection a 400 that belonged to no request followed.

Cause: httptools reports the end of the message right behind a head with such an offer, and then raises HttpParserUpgrade. The parser took that end for the request's, and dropped the body as malformed.

Evidence: httptools alone, fed with head and body in one piece, calls on_message_complete before any on_body, and raises with the offset of the body. Nothing of the offer reaches a server.

Why the fix works: the message that httptools ended is ignored, and a new parser gets the head without its Upgrade headers and then the rest, so that every check, the body and the next requests take the usual way. RFC 9110, 7.8, lets a server ignore the offer. CONNECT is answered 405 and closed as before.

--- a/oakbridge/node/request_parser.py
+++ b/oakbridge/node/request_parser.py
@@ -65,6 +65,7 @@
         "_has_duplicate",
         "_head_size",
         "_headers",
+        "_offers_upgrade",
         "_parser",
         "_single_values",
         "_target",
@@ -97,14 +98,15 @@
         self._content_length: int | None = None
         self._body: list[bytes] = []
         self._body_size = 0
+        self._offers_upgrade = False  # the head offers another protocol, and is parsed again
 
     def feed(self, data: memoryview) -> bool:
         """Parse received bytes; return whether they completed a request."""
         completed = self._completed_count
         self.request_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):  # upgrades are not served
+            self._parse(data)
+        except httptools.HttpParserError:
             self.fail(400)
         if self._completed_count > completed:
             self.request_bytes = 0
@@ -113,6 +115,34 @@
             self.fail(431)
         return False
 
+    def _parse(self, data: memoryview) -> None:
+        """Pass bytes to httptools, which ends a request that offers another protocol at its head.
+
+        No offer is accepted, so that the request goes on in HTTP/1.1 (RFC 9110, 7.8): a new parser
+        gets the head without the offer, and then the body.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                head_end: int = upgrade.args[0]
+            if not self._offers_upgrade:  # CONNECT: what follows it is not HTTP
+                self.fail(400)
+                return
+            head = self._head_without_offer()
+            self._reset_message()
+            self._parser = httptools.HttpRequestParser(self)
+            self._parser.feed_data(head)
+            data = data[head_end:]
+
+    def _head_without_offer(self) -> bytes:
+        """Return the head of the current request without its Upgrade headers."""
+        version = self._parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (self._parser.get_method(), self._target, version)]
+        lines += [name + b": " + value for name, value in self._headers if name != b"upgrade"]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def _is_mostly_framing(self) -> bool:
         """Return whether the bytes outside the body exceed the limit."""
         if self.phase is not _BODY:
@@ -164,6 +194,9 @@
 
     def on_headers_complete(self) -> None:
         """Reject a request whose head is too long or ambiguous; otherwise expect its body."""
+        if self._parser.should_upgrade() and self._parser.get_method() != b"CONNECT":
+            self._offers_upgrade = True
+            return None
         self.phase = _BODY
         if len(self._target) + self._head_size > MAX_HEAD_BYTES:
             return self.fail(431)
@@ -191,6 +224,8 @@
 
     def on_message_complete(self) -> None:
         """Pass a complete request to the connection; its timeout starts here."""
+        if self._offers_upgrade:
+            return  # only its head was parsed
         self._completed_count += 1
         self._release_buffers()
         request = self.streamed_request
@@ -217,7 +252,9 @@
             self._headers,
             body,
         )
-        request.keep_alive = bool(self._parser.should_keep_alive())
+        # After CONNECT the client may send bytes that are not HTTP.
+        is_connect = self._parser.should_upgrade()
+        request.keep_alive = bool(self._parser.should_keep_alive()) and not is_connect
         request.http10 = self._is_http10()
         request.received_at = self._connection.last_received_at()
         return request
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -111,6 +111,7 @@
             HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1;" + b"e" * 150_000 + b"\r\nx\r\n",
             b"431",
         ),
+        (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", b"400"),
         (HEAD + b"Content-Length: 4\r\nExpect: a-word\r\n\r\nbody", b"417"),
     ],
 )
