Hold a node's memory for requests under one account with one limit

What callers saw: with 200 clients that send bodies of 520,000 bytes the node passed 192 MB in 2.5 s and was killed for it, with 163 to 169 requests open. The memory stayed taken after the load.

Cause: the limit counted a body only while it was being received. Its request held it until the response, and the server's connection held a second copy until its next request. Short bodies, pipelined requests, stream windows, tiny chunks, heads, responses and what clients gave up counted nowhere.

Why the fix works: each connection and stream states what it holds, in one account whose limit follows from the platform's. Near it bodies are streamed and reads are small, then requests are rejected with 503, and a stream is read only as its server takes it. Long bodies are written without a copy. A monitor returns free memory. A successor leaves its predecessor's share to it (an optional field).

--- a/oakbridge/handover/messages.py
+++ b/oakbridge/handover/messages.py
@@ -90,6 +90,8 @@
 
     attempts: int  # in flight to servers
     connections: int  # from clients and to servers; each is one descriptor
+    # Bytes that its memory account holds; None: the predecessor's release does not send it.
+    memory_bytes: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,6 +185,7 @@
         (
             _Field("attempts", "out", int),
             _Field("connections", "held", int),
+            _Field("memory_bytes", "memory", int, is_optional=True),
         ),
     ),
     _Format("caller", ClientConnection),
--- a/oakbridge/handover/successor.py
+++ b/oakbridge/handover/successor.py
@@ -145,7 +145,8 @@
                 case StartServing():
                     self._start_serving(action.take_over)
                 case ReserveForPredecessor():
-                    self._reserve_for_predecessor(action.load)
+                    load = action.load
+                    self._reserve_for_predecessor(load, load.memory_bytes or 0)
                 case ApplyEndpointList():
                     if self._lists is not None:
                         self._lists.apply(action.update)
@@ -163,11 +164,11 @@
         if self._channel is not None:
             self._channel.close()
             self._channel = None
-            self._reserve_for_predecessor(RemainingLoad(attempts=0, connections=0))
+            self._reserve_for_predecessor(RemainingLoad(attempts=0, connections=0), None)
 
-    def _reserve_for_predecessor(self, load: RemainingLoad) -> None:
+    def _reserve_for_predecessor(self, load: RemainingLoad, memory_bytes: int | None) -> None:
         if self._node is not None:
-            self._node.share_descriptors(load.connections)
+            self._node.share_limits(load.connections, memory_bytes)
             self._node.post(PredecessorInFlight(load.attempts))
 
     def _apply(self, command: RelayedCommand) -> None:
--- a/oakbridge/node/attempt.py
+++ b/oakbridge/node/attempt.py
@@ -9,6 +9,7 @@
 from oakbridge.node.clock import Timer
 from oakbridge.node.http_framing import Headers
 from oakbridge.node.request_body import StreamedBody
+from oakbridge.node.request_writer import EncodedRequest
 from oakbridge.policy.events import AttemptResult
 
 if TYPE_CHECKING:
@@ -48,7 +49,7 @@
     server: str
     # Returns the bytes of the request; called when they can be written, with the time that is left
     # then, in microseconds.
-    render: Callable[[int], bytes]
+    render: Callable[[int], EncodedRequest]
     deadline: int
     on_end: Callable[[AttemptEnd], None]
     number: int = 0
--- a/oakbridge/node/chunked_encoding.py
+++ b/oakbridge/node/chunked_encoding.py
@@ -5,6 +5,6 @@
 LAST_CHUNK = b"0\r\n\r\n"
 
 
-def encode_chunk(data: bytes) -> bytes:
+def encode_chunk(data: bytes | bytearray) -> bytes:
     """Return one chunk; empty data gives the last chunk, which terminates the body."""
-    return b"%x\r\n%b\r\n" % (len(data), data)
+    return b"".join((b"%x\r\n" % len(data), data, b"\r\n"))
--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -17,6 +17,7 @@
 )
 from oakbridge.node.http_framing import Headers
 from oakbridge.node.invariants import Invariant
+from oakbridge.node.memory_account import CONNECTION_BYTES, SMALL_READ_BYTES, MemoryShare
 from oakbridge.node.read_deadlines import MIN_BODY_BYTES_PER_CHECK, ClientProgress
 from oakbridge.node.request_parser import RequestParser, RequestPhase
 from oakbridge.node.response_writer import (
@@ -42,6 +43,8 @@
 # A connection that exceeds it gets 503.
 MAX_PIPELINED = 64
 TOO_MANY_REQUESTS = 429
+# Unsent bytes of a streamed response at which reading from its server pauses.
+WRITE_BUFFER_BYTES = 64 * 1024
 
 
 _IDLE = ConnectionState.IDLE  # used for each request: the lookup of an Enum's member is slow
@@ -57,6 +60,7 @@
     """
 
     __slots__ = (
+        "_memory",
         "_server",
         "_sock",
         "in_flight",
@@ -78,7 +82,9 @@
         self.over_limit = over_limit
         self.transport: asyncio.Transport | None = None
         self.state = ConnectionState.IDLE
-        self.parser = RequestParser(self, server.body_buffers)
+        self._memory = MemoryShare(server.memory)
+        self._memory.set(CONNECTION_BYTES)
+        self.parser = RequestParser(self, server.memory)
         self.progress = ClientProgress()
         self.in_flight: ClientRequest | None = None
         self.pending: deque[ClientRequest] = deque()  # received, not dispatched yet
@@ -98,10 +104,11 @@
         """Cancel the requests in flight, and notify the handler if a response was due."""
         self.transport = None
         self._change_state(ConnectionEvent.CONNECTION_CLOSED)
-        self.pending.clear()
+        self._clear_pending()
         request, self.in_flight = self.in_flight, None
-        self.parser.release_body()
         self._cancel_streamed_request()
+        self.parser.release()
+        self._memory.set(0)
         stream, self.response_stream = self.response_stream, None
         self._server.on_connection_lost(self)
         if stream is not None:
@@ -110,7 +117,8 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - asyncio's signature
         """Return the buffer that all connections share; it is parsed before the next read."""
-        return self._server.read_buffer
+        buffer = self._server.read_buffer
+        return buffer[:SMALL_READ_BYTES] if self._server.memory.is_short() else buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes.
@@ -132,9 +140,11 @@
             limits.idle.remove(self)
             limits.awaiting_client.add(self)
         self._dispatch_pending()
-        if len(self.pending) >= PAUSE_READING_AT and not self.reading_paused:
+        pause_at = self._server.memory.scaled(PAUSE_READING_AT)
+        if len(self.pending) >= pause_at and not self.reading_paused:
             self.reading_paused = True
             self.update_reading()
+        self.update_memory()
 
     def pause_writing(self) -> None:
         """Dispatch no request until the client reads; start a deadline for that."""
@@ -199,6 +209,19 @@
         else:
             self.transport.resume_reading()
 
+    def update_memory(self) -> None:
+        """State the memory that this connection, its requests and its unsent responses hold."""
+        held = 0
+        if self.transport is not None:
+            held = CONNECTION_BYTES + self.parser.held_bytes()
+            held += self.transport.get_write_buffer_size()
+        if self.in_flight is not None:
+            held += self.in_flight.memory_bytes
+        for request in self.pending:
+            held += request.memory_bytes
+        if held != self._memory.held_bytes:
+            self._memory.set(held)
+
     # ---- dispatch
 
     def _change_state(self, event: ConnectionEvent) -> None:
@@ -235,8 +258,7 @@
         request, self.parser.streamed_request = self.parser.streamed_request, None
         if request is None:
             return
-        if request.streamed_body is not None:
-            request.streamed_body.discard()
+        request.release_body()
         if request is self.in_flight:
             self.in_flight = None
             self._change_state(ConnectionEvent.REQUEST_CANCELLED)
@@ -245,9 +267,17 @@
         self._abandon(request)
         self.update_reading()
 
+    def _clear_pending(self) -> None:
+        for request in self.pending:
+            request.release_body()
+        self.pending.clear()
+
     def _abandon(self, request: ClientRequest | None) -> None:
         """Notify the handler that the client no longer waits for the response to a request."""
-        if request is not None and not request.response_settled:
+        if request is None:
+            return
+        request.release_body()
+        if not request.response_settled:
             request.response_settled = True
             self._server.handler.on_client_disconnected(request)
 
@@ -262,8 +292,7 @@
         self._change_state(ConnectionEvent.RESPONSE_COMPLETE)
         # A response before the end of the body: the rest of the body is read and discarded.
         is_early = request is self.parser.streamed_request
-        if is_early and request.streamed_body is not None:
-            request.streamed_body.discard()
+        request.release_body()
         rejected = 400 <= status < 500 and status != TOO_MANY_REQUESTS
         close = is_early or self._closes_after(request, rejected=rejected)
         self._write_response(status, headers, body, close=close, http10=request.http10)
@@ -271,6 +300,7 @@
             self.parser.streamed_request = None
             self.update_reading()
         self._after_response()
+        self.update_memory()
 
     def start_response(
         self,
@@ -291,18 +321,30 @@
             return False
         request.response_settled = True
         request.response_streamed = True
+        request.release_body()
         self._change_state(ConnectionEvent.RESPONSE_STARTED)
         framing = stream_framing(length, http10=request.http10)
         is_last = not framing or self._closes_after(request)
         self.response_stream = ResponseStream(self.transport, source, framing, is_last=is_last)
         head = encode_response_head(status, headers, framing, close=is_last, http10=request.http10)
+        self._limit_write_buffer()
         self.transport.write(head)
+        self.update_memory()
         return True
 
     def write_body(self, data: bytes) -> None:
         """Write a part of the body of a streamed response."""
         if self.response_stream is not None:
             self.response_stream.write(data)
+            if self._server.memory.is_short():
+                self._limit_write_buffer()
+            self.update_memory()
+
+    def _limit_write_buffer(self) -> None:
+        """Limit the unsent bytes of a streamed response at which reading from its server pauses."""
+        if self.transport is not None:
+            high_water = self._server.memory.scaled(WRITE_BUFFER_BYTES)
+            self.transport.set_write_buffer_limits(high=high_water)
 
     def finish_response(self) -> None:
         """Finish a streamed response whose body is complete."""
@@ -313,6 +355,7 @@
         if stream.is_last and not self.pending:
             self._close_write_side()
         self._after_response()
+        self.update_memory()
 
     def abort_response(self) -> None:
         """Abort a streamed response so that the client can detect that it is incomplete.
@@ -381,7 +424,7 @@
             self._server.invariants.violated(
                 Invariant.CLOSED_UNANSWERED, f"{len(self.pending)} pipelined requests"
             )
-            self.pending.clear()
+            self._clear_pending()
         limits = self._server.limits
         limits.idle.remove(self)
         limits.awaiting_client.remove(self)
--- a/oakbridge/node/client_request.py
+++ b/oakbridge/node/client_request.py
@@ -7,6 +7,7 @@
 
 from oakbridge.node.clock import Timer
 from oakbridge.node.http_framing import Headers
+from oakbridge.node.memory_account import HEADER_BYTES, REJECTED_REQUEST_BYTES, REQUEST_BYTES
 from oakbridge.node.request_body import StreamedBody
 
 if TYPE_CHECKING:
@@ -37,9 +38,11 @@
         "http10",
         "id",
         "keep_alive",
+        "memory_bytes",
         "method",
         "overdue_timer",
         "received_at",
+        "rejected_for_memory",
         "respond_by",
         "response_settled",
         "response_streamed",
@@ -49,7 +52,12 @@
     )
 
     def __init__(
-        self, client: ClientConnection, method: bytes, target: bytes, headers: Headers, body: bytes
+        self,
+        client: ClientConnection,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes | bytearray,
     ) -> None:
         self.client = client
         self.method = method
@@ -57,6 +65,10 @@
         self.headers = headers
         self.header_values = dict(headers)
         self.body = body
+        # What the request holds until its response is written, without a streamed body.
+        self.memory_bytes = REQUEST_BYTES + head_memory(target, headers) + buffer_memory(body)
+        # Received when the node's memory limit was reached: it has neither headers nor a body.
+        self.rejected_for_memory = False
         # Set if the body is forwarded while it is received.
         self.streamed_body: StreamedBody | None = None
         self.http10 = False  # HTTP/1.0 has no chunked transfer coding
@@ -73,11 +85,36 @@
         self.response_streamed = False  # the response is forwarded while it is received
         self.body_sent_at = 0  # when the last byte of a streamed body was written to the server
 
+    def release_body(self) -> None:
+        """Release what is left of the body, as no further attempt will be sent."""
+        self.memory_bytes -= buffer_memory(self.body)
+        self.body = b""
+        if self.streamed_body is not None:
+            self.streamed_body.discard()
+
+    def mark_rejected_for_memory(self) -> None:
+        """Mark a request that has neither headers nor a body, as it is rejected."""
+        self.rejected_for_memory = True
+        self.memory_bytes = REJECTED_REQUEST_BYTES
+
     def header_text(self, name: bytes) -> str:
         """Return a header's value as text; "" if the request does not have the header."""
         return self.header_values.get(name, b"").decode("latin-1")
 
 
+def head_memory(target: bytes, headers: Headers) -> int:
+    """Return the memory of a request's target and headers, in bytes."""
+    size = len(target) + HEADER_BYTES * len(headers)
+    for name, value in headers:
+        size += len(name) + len(value)
+    return size
+
+
+def buffer_memory(buffer: bytes | bytearray) -> int:
+    """Return the memory of a buffer in bytes; a bytearray may be longer than its content."""
+    return buffer.__alloc__() if isinstance(buffer, bytearray) else len(buffer)
+
+
 def parse_timeout(value: bytes) -> int | None:
     """Return the microseconds of an ``X-Timeout`` value ("5m", "5u"); None if it is malformed."""
     match = _TIMEOUT.fullmatch(value.strip())
--- a/oakbridge/node/connection_pool.py
+++ b/oakbridge/node/connection_pool.py
@@ -10,6 +10,7 @@
 from oakbridge.node.attempt import Attempt, AttemptEnd
 from oakbridge.node.clock import Clock, Timer
 from oakbridge.node.endpoint_list import EndpointList
+from oakbridge.node.memory_account import MemoryAccount
 from oakbridge.node.observer import NodeObserver
 from oakbridge.node.server_connection import ServerConnection
 from oakbridge.policy.events import AttemptResult, EndpointState
@@ -57,6 +58,7 @@
         connect_timeout: int,
         idle_timeout: int,
         max_connections: int,
+        memory: MemoryAccount,
     ) -> None:
         """``connect_timeout``: 0 for none.
 
@@ -64,6 +66,7 @@
         """
         self.loop = loop
         self.clock = clock
+        self.memory = memory
         self.max_connections = max_connections
         self.connection_count = 0
         # Address and start time of each server that requests may be sent to, by name.
--- a/oakbridge/node/forwarded_attempt.py
+++ b/oakbridge/node/forwarded_attempt.py
@@ -7,7 +7,7 @@
 from oakbridge.node.attempt import AttemptEnd, ResponseSink
 from oakbridge.node.client_request import ClientRequest
 from oakbridge.node.connection_pool import ConnectionPool
-from oakbridge.node.request_writer import encode_request
+from oakbridge.node.request_writer import EncodedRequest, encode_request
 from oakbridge.node.server_connection import ServerConnection
 
 if TYPE_CHECKING:
@@ -33,7 +33,7 @@
         self.server = server
         self.sent_at = sent_at
 
-    def render(self, timeout_us: int) -> bytes:
+    def render(self, timeout_us: int) -> EncodedRequest:
         """Return the bytes to write, with a timeout of at most the time left to the client."""
         time_left = self._forwarder.client_time_left(self.request)
         return encode_request(self.request, max(1, min(timeout_us, time_left)))
--- a/oakbridge/node/http_server.py
+++ b/oakbridge/node/http_server.py
@@ -18,7 +18,8 @@
 from oakbridge.node.invariants import Invariant, InvariantCounters
 from oakbridge.node.lifecycle import Lifecycle, Phase
 from oakbridge.node.listener import Listener
-from oakbridge.node.request_body import BodyBuffers
+from oakbridge.node.memory_account import MemoryAccount
+from oakbridge.node.memory_monitor import MemoryMonitor
 from oakbridge.node.transient_error_socket import TransientErrorSocket
 
 log = logging.getLogger(__name__)
@@ -47,6 +48,9 @@
     def handle_request(self, request: ClientRequest) -> None:
         """Handle a request; it must get exactly one response."""
 
+    def reject_for_memory(self, request: ClientRequest) -> None:
+        """Reject a request that arrived when the node's memory limit was reached."""
+
     def on_client_disconnected(self, request: ClientRequest) -> None:
         """Cancel a request whose client has disconnected or did not send the complete body."""
 
@@ -61,12 +65,15 @@
         handler: RequestHandler,
         addresses: Sequence[Address],
         max_connections: int,
+        memory: MemoryAccount,
+        memory_mb: int,
         inherited: Sequence[socket.socket] = (),
         *,
         reuse_port: bool = False,
     ) -> None:
         """Open the listening sockets.  Raises OSError.
 
+        ``memory_mb``: memory limit of the node; 0: not configured.
         ``addresses``: where to listen; empty if another process accepts and passes the connections
         to :meth:`admit`.  ``inherited``: listening sockets of the predecessor, used instead of
         ``addresses``.  ``reuse_port``: other processes may listen at the same addresses.
@@ -77,7 +84,10 @@
         self.invariants = InvariantCounters()
         self.lifecycle = Lifecycle()
         self.limits = ConnectionLimits(clock, max_connections)
-        self.body_buffers = BodyBuffers()
+        self.memory = memory
+        self.memory_monitor = MemoryMonitor(
+            memory, clock, lambda: self.limits.connections, memory_mb
+        )
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.listener = Listener(
             loop, clock, self.lifecycle, self.limits, self.admit, self._finish_shutdown_if_empty
@@ -165,7 +175,7 @@
         except Exception:  # an error of one connection must not stop the node
             log.exception("setting up a client connection failed")
             sock.close()
-            self.on_connection_lost(connection)
+            connection.connection_lost(None)
 
     def on_connection_lost(self, connection: ClientConnection) -> None:
         """Remove a closed connection, and resume accepting if there is space."""
@@ -182,6 +192,8 @@
             ready = self.handler.has_usable_server() and self.lifecycle.ready
             status, body = (200, b"ready\n") if ready else (503, b"not ready\n")
             return client.respond(request, status, [], body)
+        if request.rejected_for_memory:
+            return self.handler.reject_for_memory(request)
         timeout = request.header_values.get(b"x-timeout")
         request.timeout_us = None if timeout is None else parse_timeout(timeout)
         rejection = self._rejection(request)
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -20,9 +20,9 @@
 from oakbridge.node.endpoint_updates import EndpointUpdates
 from oakbridge.node.errors import ConfigError, EndpointListError
 from oakbridge.node.http_server import HttpServer
+from oakbridge.node.memory_account import MemoryAccount, memory_limit
 from oakbridge.node.observer import NodeObserver
 from oakbridge.node.offline_servers import OfflineServers
-from oakbridge.node.request_body import BODY_BUFFERS_MEMORY_DIVISOR
 from oakbridge.node.request_forwarder import RequestForwarder
 from oakbridge.policy.balancer import Balancer
 from oakbridge.policy.events import Event, SettingsChanged
@@ -37,7 +37,6 @@
 # Delay before the saved endpoint list is applied, unless discovery's list arrives earlier.  An agent
 # that pushes lists responds within milliseconds.
 SAVED_LIST_DELAY_S = 0.75
-BYTES_PER_MB = 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +74,7 @@
         self.ids = itertools.count(1)  # the balancer's request numbers, shared by all fronts
         self.offline_servers = offline_servers or OfflineServers()
         self.balancer = Balancer(config.settings, config.seed)
+        self.memory = MemoryAccount(memory_limit(config.memory_mb))
         self.pool = self._make_pool(loop)
         self.source = source(self.clock) if source is not None else self._make_discovery()
         self.dispatcher = Dispatcher(self.balancer, self.clock)
@@ -98,6 +98,7 @@
             self.settings.connect_timeout,
             _idle_timeout(self.settings),
             _max_server_connections(self.config.sockets),
+            self.memory,
         )
 
     def _make_discovery(self) -> DiscoverySource:
@@ -112,20 +113,17 @@
 
     def _make_server(self, loop: asyncio.AbstractEventLoop, listening: ListenOptions) -> HttpServer:
         config = self.config
-        server = HttpServer(
+        return HttpServer(
             loop,
             self.clock,
             self.forwarder,
             (config.listen, *config.also_listen) if listening.enabled else (),
             config.sockets - RESERVED_DESCRIPTORS - self.pool.max_connections,
+            self.memory,
+            config.memory_mb,
             listening.inherited,
             reuse_port=listening.reuse_port,
         )
-        if config.memory_mb:
-            server.body_buffers.limit_bytes = (
-                config.memory_mb * BYTES_PER_MB // BODY_BUFFERS_MEMORY_DIVISOR
-            )
-        return server
 
     def _apply_saved_list(self) -> None:
         """Load the saved endpoint list, which may be outdated; without one, use an empty list.
@@ -228,8 +226,12 @@
         """Bring a server back online; False if it was not offline, None if it is unknown."""
         return self.endpoints.bring_online(server, self.settings.slow_start_window)
 
-    def share_descriptors(self, predecessor_descriptors: int) -> None:
-        """Reduce the connection limits by the descriptors that the predecessor still holds."""
+    def share_limits(self, predecessor_descriptors: int, predecessor_memory: int | None) -> None:
+        """Reduce the limits by the descriptors and the memory that the predecessor still holds.
+
+        ``predecessor_memory``: bytes that its memory account holds; None: the predecessor has exited.
+        """
+        self.server.memory_monitor.reserve_for_predecessor(predecessor_memory)
         total = self.config.sockets - predecessor_descriptors
         self.pool.max_connections = _max_server_connections(total)
         max_clients = total - RESERVED_DESCRIPTORS - self.pool.max_connections
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -16,7 +16,13 @@
 from oakbridge.node.load_report import parse_load_report
 from oakbridge.node.server_connection import ServerConnection
 from oakbridge.node.unserved_requests import UnservedRequests
-from oakbridge.policy.actions import CancelAttempt, FailRequest, RejectRequest, SendAttempt
+from oakbridge.policy.actions import (
+    CancelAttempt,
+    FailRequest,
+    RejectRequest,
+    SendAttempt,
+    UnservedReason,
+)
 from oakbridge.policy.events import (
     AttemptEnded,
     AttemptResult,
@@ -129,6 +135,12 @@
             now,
         )
 
+    def reject_for_memory(self, request: ClientRequest) -> None:
+        """Reject a request that arrived when the node's memory limit was reached, with a 503."""
+        request.client.respond(request, 503, [], b"")
+        self.rejected += 1
+        self.unserved.add(UnservedReason.MEMORY_LIMIT, self._clock.now())
+
     def client_time_left(self, request: ClientRequest) -> int:
         """Return how long the client still waits; its timeout starts with its last byte."""
         timeout = request.timeout_us or 0
--- a/oakbridge/node/request_parser.py
+++ b/oakbridge/node/request_parser.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from oakbridge.node.client_request import ClientRequest
+from oakbridge.node.client_request import ClientRequest, buffer_memory, head_memory
 from oakbridge.node.http_framing import (
     MAX_BODY_BYTES,
     MAX_FRAMING_PER_BODY_BYTE,
@@ -15,7 +15,8 @@
     Headers,
     read_framing,
 )
-from oakbridge.node.request_body import BodyBuffers, StreamedBody
+from oakbridge.node.memory_account import MemoryAccount
+from oakbridge.node.request_body import StreamedBody
 
 if TYPE_CHECKING:
     from oakbridge.node.client_connection import ClientConnection
@@ -23,8 +24,11 @@
 # A body up to this size is buffered: a retry can send it again, and no server is occupied while the
 # client sends it.
 MAX_BUFFERED_BODY_BYTES = 512 * 1024
-# A body up to this size is buffered in any case, and does not count towards the memory limit.
-UNCOUNTED_BODY_BYTES = 64 * 1024
+# A body up to this size is buffered also when memory is short.
+MIN_STREAMED_BODY_BYTES = 64 * 1024
+# Parts of a buffered body that are passed on to a stream.
+STREAM_PART_BYTES = 64 * 1024
+MAX_HEADERS = 512  # each takes memory beyond its bytes
 
 # Headers that identify, frame or classify a request.  A request that repeats one is rejected: the
 # node and the server might each use a different value.
@@ -58,13 +62,14 @@
     __slots__ = (
         "_body",
         "_body_size",
-        "_buffers",
         "_completed_count",
         "_connection",
         "_content_length",
         "_has_duplicate",
         "_head_size",
         "_headers",
+        "_is_rejected",
+        "_memory",
         "_offers_upgrade",
         "_parser",
         "_single_values",
@@ -76,9 +81,9 @@
         "streamed_request",
     )
 
-    def __init__(self, connection: ClientConnection, buffers: BodyBuffers) -> None:
+    def __init__(self, connection: ClientConnection, memory: MemoryAccount) -> None:
         self._connection = connection
-        self._buffers = buffers
+        self._memory = memory
         self._parser: Any = httptools.HttpRequestParser(self)
         self.phase = _IDLE
         self.error_status = 0
@@ -96,8 +101,9 @@
         self._single_values: list[bytes] = []  # names of received headers that may not be repeated
         self._has_duplicate = False
         self._content_length: int | None = None
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body: bytes | bytearray = b""
+        self._body_size = 0  # bytes received, also those that are not buffered
+        self._is_rejected = False  # the memory limit is reached, and the body is discarded
         self._offers_upgrade = False  # the head offers another protocol, and is parsed again
 
     def feed(self, data: memoryview) -> bool:
@@ -108,9 +114,15 @@
             self._parse(data)
         except httptools.HttpParserError:
             self.fail(400)
+        streamed = self.streamed_request
+        if streamed is not None and streamed.streamed_body is not None:
+            streamed.streamed_body.notify_reader()
         if self._completed_count > completed:
             self.request_bytes = 0
             return True
+        if self.phase is _HEAD and self._memory.is_exhausted():
+            self._reject()
+            self.fail(503)
         if self.request_bytes > MAX_HEAD_BYTES and self._is_mostly_framing():
             self.fail(431)
         return False
@@ -166,10 +178,16 @@
         body = None if request is None else request.streamed_body
         return body is not None and body.full
 
-    def release_body(self) -> None:
-        """Drop the buffered part of a body."""
-        self._release_buffers()
-        self._body = []
+    def release(self) -> None:
+        """Release the incomplete request, and the reference cycle with httptools' parser."""
+        self._reset_message()
+        self._parser = None
+
+    def held_bytes(self) -> int:
+        """Return the memory of the incomplete request, without a streamed body."""
+        if self.phase is _IDLE:
+            return 0
+        return head_memory(self._target, self._headers) + buffer_memory(self._body)
 
     # ---- httptools' callbacks
 
@@ -190,6 +208,8 @@
             self._has_duplicate = self._has_duplicate or name in self._single_values
             self._single_values.append(name)
         self._head_size += len(name) + len(value)
+        if len(self._headers) > MAX_HEADERS:
+            return
         self._headers.append((name, value.strip(b" \t")))  # RFC 9112, 5.1
 
     def on_headers_complete(self) -> None:
@@ -198,7 +218,8 @@
             self._offers_upgrade = True
             return None
         self.phase = _BODY
-        if len(self._target) + self._head_size > MAX_HEAD_BYTES:
+        is_too_long = len(self._target) + self._head_size > MAX_HEAD_BYTES
+        if is_too_long or len(self._headers) > MAX_HEADERS:
             return self.fail(431)
         fault, self._content_length, _ = read_framing(self._headers)
         if self._has_duplicate or fault:
@@ -208,6 +229,10 @@
             self.expects_continue = not self._is_http10() and expected == b"100-continue"
             if not self.expects_continue:
                 return self.fail(417)  # RFC 9110, 10.1.1
+        if self._memory.rejects_requests():
+            self._reject()
+            if self.error_status:
+                return None
         return self._connection.on_head()
 
     def on_body(self, data: bytes) -> None:
@@ -217,6 +242,8 @@
         self._body_size += len(data)
         if self._body_size > MAX_BODY_BYTES:
             self.fail(413)
+        elif self._is_rejected:
+            pass
         elif self.streamed_request is not None and self.streamed_request.streamed_body is not None:
             self.streamed_request.streamed_body.feed(data)
         else:
@@ -227,14 +254,13 @@
         if self._offers_upgrade:
             return  # only its head was parsed
         self._completed_count += 1
-        self._release_buffers()
         request = self.streamed_request
         if request is not None and request.streamed_body is not None:
             self.streamed_request = None
             request.received_at = self._connection.last_received_at()
             request.streamed_body.finish()
         elif not self.error_status:
-            self._connection.on_request(self._build_request(b"".join(self._body)))
+            self._connection.on_request(self._build_request(self._body))
         self._reset_message()
         self.phase = _IDLE
         self.expects_continue = False
@@ -244,7 +270,7 @@
     def _is_http10(self) -> bool:
         return bool(self._parser.get_http_version() == "1.0")
 
-    def _build_request(self, body: bytes) -> ClientRequest:
+    def _build_request(self, body: bytes | bytearray) -> ClientRequest:
         request = ClientRequest(
             self._connection,
             self._parser.get_method(),
@@ -252,6 +278,8 @@
             self._headers,
             body,
         )
+        if self._is_rejected:
+            request.mark_rejected_for_memory()
         # After CONNECT the client may send bytes that are not HTTP.
         is_connect = self._parser.should_upgrade()
         request.keep_alive = bool(self._parser.should_keep_alive()) and not is_connect
@@ -260,30 +288,40 @@
         return request
 
     def _buffer(self, data: bytes) -> None:
-        self._body.append(data)
-        if self._body_size <= UNCOUNTED_BODY_BYTES:
+        if self._memory.is_exhausted():
+            self._reject()
             return
-        was_counted = self._body_size - len(data) > UNCOUNTED_BODY_BYTES
-        self._buffers.used_bytes += len(data) if was_counted else self._body_size
-        if (
-            self._body_size > MAX_BUFFERED_BODY_BYTES
-            or self._buffers.used_bytes > self._buffers.limit_bytes
-        ):
+        if not self._body:
+            self._body = data
+        else:
+            if isinstance(self._body, bytes):
+                self._body = bytearray(self._body)
+            self._body += data
+        if self._body_size > self._max_buffered_bytes():
             self._start_streaming()
 
-    def _release_buffers(self) -> None:
-        """Subtract the buffered body from the count: it is dropped, or belongs to a request now."""
-        if self._body and self._body_size > UNCOUNTED_BODY_BYTES:
-            self._buffers.used_bytes -= self._body_size
+    def _max_buffered_bytes(self) -> int:
+        """Return up to which size a body is buffered."""
+        if self._memory.rejects_requests():
+            return 0
+        return MIN_STREAMED_BODY_BYTES if self._memory.is_short() else MAX_BUFFERED_BODY_BYTES
+
+    def _reject(self) -> None:
+        """Reject the request, as the memory limit is reached; its body is received and discarded."""
+        self._is_rejected = True
+        self._body = b""
+        self._headers = []
+        if self.expects_continue:
+            self.fail(503)  # the client sends no body before it gets a response
 
     def _start_streaming(self) -> None:
         """Pass the request to the connection before its body is complete."""
         request = self._build_request(b"")
-        body = StreamedBody(self._content_length, self._connection.update_reading)
+        body = StreamedBody(self._content_length, self._memory, self._connection.update_reading)
         request.streamed_body = body
-        for part in self._body:
-            body.feed(part)
-        self.release_body()
+        received, self._body = memoryview(self._body), b""
+        for start in range(0, len(received), STREAM_PART_BYTES):
+            body.feed(bytes(received[start : start + STREAM_PART_BYTES]))
         self.streamed_request = request
         self._connection.on_streamed_request(request)
 
--- a/oakbridge/node/request_writer.py
+++ b/oakbridge/node/request_writer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from oakbridge.node.client_request import HOP_BY_HOP_HEADERS, ClientRequest
 
 # Longer timeouts are written in milliseconds, as the number in X-Timeout has eight digits at most.
@@ -10,7 +12,14 @@
 _METHODS_WITHOUT_BODY = (b"GET", b"DELETE", b"OPTIONS")
 
 
-def encode_request(request: ClientRequest, timeout_us: int) -> bytes:
+class EncodedRequest(NamedTuple):
+    """The bytes of an attempt; the body is not copied, as it may be long."""
+
+    head: bytes
+    body: bytes | bytearray = b""
+
+
+def encode_request(request: ClientRequest, timeout_us: int) -> EncodedRequest:
     """Return the bytes of an attempt, without a streamed body; ``timeout_us``: the time left."""
     lines = [request.method + b" " + request.target + b" HTTP/1.1"]
     lines += [
@@ -24,7 +33,7 @@
         )
     elif request.body or request.method not in _METHODS_WITHOUT_BODY:
         lines.append(b"content-length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+    return EncodedRequest(b"\r\n".join(lines) + b"\r\n\r\n", request.body)
 
 
 def _encode_timeout(timeout_us: int) -> bytes:
--- a/oakbridge/node/response_parser.py
+++ b/oakbridge/node/response_parser.py
@@ -15,10 +15,12 @@
     Headers,
     read_framing,
 )
+from oakbridge.node.memory_account import HEADER_BYTES, MemoryAccount
 from oakbridge.policy.events import AttemptResult
 
 # A response body up to this size is buffered, so that its request can be retried if it breaks off.
 MAX_BUFFERED_BYTES = 64 * 1024
+STATUS_OK = 200
 
 
 class ResponseError(ValueError):
@@ -37,6 +39,7 @@
         "_bytes_read",
         "_finishes_at_close",
         "_headers_complete",
+        "_memory",
         "_open_sink",
         "_parser",
         "_unusable",
@@ -49,9 +52,10 @@
         "status",
     )
 
-    def __init__(self, open_sink: Callable[[], ResponseSink | None]) -> None:
+    def __init__(self, open_sink: Callable[[], ResponseSink | None], memory: MemoryAccount) -> None:
         """``open_sink``: returns the sink of a long body; None if the response is not wanted."""
         self._open_sink = open_sink
+        self._memory = memory
         self.reset()
 
     def reset(self) -> None:
@@ -64,7 +68,7 @@
         self.complete = False
         self.reusable = False  # whether the connection is, once the response is complete
         self.sink: ResponseSink | None = None
-        self._body: list[bytes] = []
+        self._body: list[bytes] = []  # of a response with the result OK; others are not forwarded
         self._body_bytes = 0
         self._bytes_read = 0
         self._headers_complete = False
@@ -85,6 +89,13 @@
         if self._unusable or self._bytes_read - self._body_bytes > max_framing:
             raise ResponseError("expected a response of bounded size with one clear end")
 
+    def held_bytes(self) -> int:
+        """Return the memory of the incomplete response, without the bytes passed to the sink."""
+        held = HEADER_BYTES * (len(self.headers) + len(self._body))
+        if self._body:
+            held += self._body_bytes
+        return held
+
     def finish_at_close(self) -> bool:
         """Complete a response that extends to the close of its connection (RFC 9112, 6.3, 8).
 
@@ -98,7 +109,7 @@
 
     def result(self) -> AttemptResult:
         """Return the result of the attempt by the response's status and headers."""
-        if self.status == 200:
+        if self.status == STATUS_OK:
             return AttemptResult.OK
         if self.status in (503, 504) and (b"x-not-processed", b"1") in self.headers:
             return AttemptResult.REJECTED
@@ -111,6 +122,11 @@
         self._body = []
         return end
 
+    def release(self) -> None:
+        """Release the incomplete response, as its connection is closed."""
+        self.headers = []
+        self._body = []
+
     def detach_sink(self) -> ResponseSink | None:
         """Return the sink, if there is one, and write nothing more to it."""
         sink, self.sink = self.sink, None
@@ -151,8 +167,11 @@
             else:
                 self.sink.write_body(data)
             return
-        self._body.append(data)
-        if max(self._body_bytes, self.content_length or 0) > MAX_BUFFERED_BYTES:
+        max_buffered = MAX_BUFFERED_BYTES
+        if self.status == STATUS_OK:
+            self._body.append(data)
+            max_buffered = self._memory.scaled(MAX_BUFFERED_BYTES)
+        if max(self._body_bytes, self.content_length or 0) > max_buffered:
             self._start_streaming()
 
     def _start_streaming(self) -> None:
--- a/oakbridge/node/server_connection.py
+++ b/oakbridge/node/server_connection.py
@@ -17,6 +17,7 @@
 from oakbridge.node.attempt import Attempt, AttemptEnd, ResponseSink
 from oakbridge.node.chunked_encoding import encode_chunk
 from oakbridge.node.clock import Timer
+from oakbridge.node.memory_account import CONNECTION_BYTES, MemoryShare
 from oakbridge.node.request_body import StreamedBody
 from oakbridge.node.response_parser import ResponseError, ResponseParser
 from oakbridge.node.system_errors import is_local_connect_error, is_resource_error
@@ -28,6 +29,9 @@
 log = logging.getLogger(__name__)
 
 READ_BYTES = 64 * 1024
+# A body up to this size is copied behind its head, so that both are written with one call.
+MAX_COPIED_BODY_BYTES = 16 * 1024
+_NOTHING_UNSENT = memoryview(b"")
 # Maximum pause within a buffered response; a server that pauses longer is taken to have failed.
 STALL_TIMEOUT_US = 1_000_000
 # Maximum pause within a streamed response; longer, as its request can't be retried any more.
@@ -47,11 +51,13 @@
         "_awaits_writable",
         "_body",
         "_has_served",
+        "_memory",
         "_pool",
         "_response",
         "_sock",
         "_timer",
         "_unsent",
+        "_unsent_body",
         "attempt",
         "closed",
         "connected",
@@ -77,11 +83,14 @@
         self._awaits_writable = False
         # The bytes that the socket has not taken yet; None: nothing was written.
         self._unsent: memoryview | None = None
+        self._unsent_body: bytes | bytearray = b""  # of the client's request, after ``_unsent``
         self._body: StreamedBody | None = None  # the rest of a streamed body, after ``_unsent``
-        self.paused = False
+        self.paused = False  # the buffers towards the client are full
         self._timer: Timer | None = None  # timeout of the dial, then of each pause in a response
-        self._response = ResponseParser(self._open_sink)
+        self._response = ResponseParser(self._open_sink, pool.memory)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._memory = MemoryShare(pool.memory)
+        self._memory.set(CONNECTION_BYTES)
 
     # ---- dialling
 
@@ -146,7 +155,10 @@
             # forgotten the first attempt.
             self._pool.loop.call_soon(self._pool.fail_unsent, attempt)
             return
-        self._unsent = memoryview(attempt.render(max(1, attempt.deadline - now)))
+        head, body = attempt.render(max(1, attempt.deadline - now))
+        if len(body) <= MAX_COPIED_BODY_BYTES:
+            head, body = head + body, b""
+        self._unsent, self._unsent_body = memoryview(head), body
         self._body = attempt.streamed_body
         if self._body is not None:
             self._body.attach(self._on_body_available)
@@ -157,8 +169,11 @@
         if self.connected and not self.closed and not self._awaits_writable:
             self._run_guarded(self._write)
 
-    def _next_body_part(self) -> bytes:
-        """Return the next bytes of a streamed body; empty if there are none, or no more."""
+    def _next_body_part(self) -> bytes | bytearray:
+        """Return the next bytes of the body; empty if there are none, or no more."""
+        if self._unsent_body:
+            part, self._unsent_body = self._unsent_body, b""
+            return part
         body = self._body
         if body is None:
             return b""
@@ -172,7 +187,9 @@
 
     def request_written(self) -> bool:
         """Return whether the socket took the request's last byte, so that the server may run it."""
-        return self._unsent is not None and not self._unsent and self._body is None
+        if self._unsent is None or self._unsent or self._unsent_body:
+            return False
+        return self._body is None
 
     def _write(self) -> None:
         """Write as much as the socket takes; ``_unsent`` is empty once the last byte is written."""
@@ -181,13 +198,16 @@
             while True:
                 while self._unsent:
                     self._unsent = self._unsent[self._sock.send(self._unsent) :]
-                if self._body is None:
+                # An idle connection would otherwise keep the bytes that it sent last.
+                self._unsent = _NOTHING_UNSENT
+                if self._body is None and not self._unsent_body:
                     break
                 if not (part := self._next_body_part()):
                     break
                 self._unsent = memoryview(part)
         except BlockingIOError:
             self._await_writable(self._write)
+            self._update_memory()
             return
         except OSError as error:
             if is_resource_error(error):
@@ -198,6 +218,7 @@
             self._pool.loop.call_soon(self._fail)
             return
         self._stop_awaiting_writable()
+        self._update_memory()
         body_sent = had_body and self._body is None
         if body_sent and self.attempt is not None and self.attempt.on_request_sent is not None:
             self.attempt.on_request_sent()
@@ -216,7 +237,7 @@
 
     def _on_readable(self) -> None:
         try:
-            data = self._sock.recv(READ_BYTES)
+            data = self._sock.recv(self._pool.memory.scaled(READ_BYTES))
         except BlockingIOError:
             return
         except OSError as error:
@@ -224,6 +245,10 @@
             if not is_resource_error(error):
                 self._fail()
             return
+        self._on_received(data)
+
+    def _on_received(self, data: bytes) -> None:
+        """Pass received bytes to the parser; b"" is the end of the connection."""
         if not data and self.attempt is not None and self._response.finish_at_close():
             self._on_response_complete()
             return
@@ -239,8 +264,10 @@
             return
         if self._response.complete:
             self._on_response_complete()
-        elif not self.paused:
-            self._restart_stall_timer()
+        else:
+            self._update_memory()
+            if not self.paused:
+                self._restart_stall_timer()
 
     def _restart_stall_timer(self) -> None:
         """Limit pauses in a response; an incomplete one would last until the attempt's deadline.
@@ -266,6 +293,14 @@
             self._fail_after(STREAM_STALL_TIMEOUT_US)
             self._pool.loop.add_reader(self._sock, self._run_guarded, self._on_readable)
 
+    def _update_memory(self) -> None:
+        """State the memory that this connection holds; a buffered body is held by its client."""
+        held = CONNECTION_BYTES + self._response.held_bytes()
+        if self._unsent and isinstance(self._unsent.obj, bytes):
+            held += len(self._unsent)
+        if held != self._memory.held_bytes:
+            self._memory.set(held)
+
     def _open_sink(self) -> ResponseSink | None:
         """Start to stream a long response; its request can't be retried from here on."""
         attempt, response = self.attempt, self._response
@@ -291,6 +326,7 @@
         if sink is not None:
             sink.finish_response()
         end = response.take(result)
+        self._update_memory()
         self._has_served = self._has_served or result != AttemptResult.REJECTED
         if self._can_be_kept():
             self._pool.put_idle(self)
@@ -373,4 +409,8 @@
         self._pool.loop.remove_reader(self._sock)
         self._stop_awaiting_writable()
         self._sock.close()
+        # An attempt that has ended may still refer to this connection.
+        self._unsent_body = b""
+        self._response.release()
+        self._memory.set(0)
         self._pool.remove(self)
--- a/oakbridge/policy/actions.py
+++ b/oakbridge/policy/actions.py
@@ -22,6 +22,7 @@
     RETRY_BUDGET = "an attempt failed, and the retry budget was spent"
     PINNED_SERVERS_REMOVED = "no server is left of the list that it keeps to"
     UNKNOWN_CLASS = "its class is not known"
+    MEMORY_LIMIT = "the node's memory limit was reached"
 
 
 @dataclass(slots=True)
