Do not count the node's own pause in reading as the client's

What callers saw: many requests with bodies, written at once on one connection; where the first of them took longer than 2.5 s, the next one got 408, the connection was closed, and those behind it got no answer.

Cause: at 16 pending requests the node stops reading, with the next request half read. Its deadline went on, and counted what had been read since as the client's progress: nothing.

Evidence: with responses after 40 ms and a timeout of 400 ms, 40 requests of 60,000 bytes get 408 where reading paused within a request; requests that end with a read do not.

Why the fix works: while reading is paused the deadline is checked again later, and it starts anew when reading goes on. A client that then sends no more still gets 408.

tests/node/test_client_connection.py: the case of 60,000 bytes failed before ("408 == 200"); the four new cases pass now.

--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -245,8 +245,16 @@
             self._send_continue()
         if self.reading_paused and not self.pending and self.transport is not None:
             self.reading_paused = False
+            self._restart_deadline()
             self.update_reading()
 
+    def _restart_deadline(self) -> None:
+        """Give the client its whole time for the rest of a request, as reading was paused."""
+        if self.parser.in_progress() and not self.write_blocked and not self.is_closing():
+            self.progress.body_started()
+            self._server.limits.awaiting_client.remove(self)
+            self._server.limits.awaiting_client.add(self)
+
     def _send_continue(self) -> None:
         """Send 100 Continue (RFC 9110, 10.1.1)."""
         self.parser.expects_continue = False
@@ -472,6 +480,8 @@
             return self.progress.may_linger(self.transport, received)
         if self.write_blocked:
             return self.progress.has_read(self.transport)
+        if self.reading_paused:
+            return True  # what the client has sent meanwhile is not read
         if self.parser.phase is not RequestPhase.BODY:
             return False
         return self.parser.body_is_held_back() or received >= MIN_BODY_BYTES_PER_CHECK
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -65,6 +65,52 @@
     run(scenario())
 
 
+@pytest.mark.usefixtures("short_client_timeout")
+@pytest.mark.parametrize("body_bytes", [100, 5_000, 60_000])
+def test_pipelined_requests_behind_a_pause_in_reading_are_all_served(body_bytes):
+    """Guards against a pause of the node that counts as the client's: 408, and requests lost."""
+
+    async def respond_slowly():
+        await asyncio.sleep(0.04)  # the first 16 together take longer than the client's timeout
+        return reply(200)
+
+    async def scenario():
+        async with (
+            ScriptedServer(lambda _: respond_slowly()) as server,
+            RunningNode(server) as node,
+        ):
+            client = await node.client()
+            for _ in range(40):
+                client.send(method="POST", body=bytes(body_bytes))
+            for _ in range(40):
+                assert (await client.read_response())[0] == 200
+            assert server.requests.qsize() == 40
+
+    run(scenario())
+
+
+@pytest.mark.usefixtures("short_client_timeout")
+def test_client_that_stops_within_a_request_behind_a_pause_in_reading_gets_408():
+    async def respond_slowly():
+        await asyncio.sleep(0.04)
+        return reply(200)
+
+    async def scenario():
+        async with (
+            ScriptedServer(lambda _: respond_slowly()) as server,
+            RunningNode(server) as node,
+        ):
+            client = await node.client()
+            for _ in range(16):
+                client.send(method="POST", body=bytes(5_000))
+            client.writer.write(HEAD + b"Content-Length: 9000\r\n\r\nabc")
+            for _ in range(16):
+                assert (await client.read_response())[0] == 200
+            assert (await client.read_until_close()).startswith(b"HTTP/1.1 408 ")
+
+    run(scenario())
+
+
 @pytest.mark.usefixtures("short_client_timeout")
 def test_client_that_never_reads_its_responses_is_aborted(monkeypatch):
     """Guards against buffered responses without a limit, and a connection that never closes."""
