Move what is unsent of a request out of the server's connection into a class

A connection that closes drops the bytes and still knows whether the last one was written. The monitor collects garbage only after a peak of twice the watched amount.

--- a/oakbridge/node/memory_monitor.py
+++ b/oakbridge/node/memory_monitor.py
@@ -26,6 +26,7 @@
 PROCESS_MARGIN_BYTES = 3 * BYTES_PER_MB
 CHECK_INTERVAL_US = 50_000
 MIN_TRIM_INTERVAL_US = 1_000_000
+MIN_PEAK_FACTOR = 2  # of the watched amount; memory is returned after a higher peak
 SETTLE_US = 2_000_000  # the checks end when less has been held for this long
 LOG_INTERVAL_US = 1_000_000
 
@@ -130,8 +131,10 @@
         if account.held_bytes > account.watched_bytes:
             self._low_since = now
         if now >= self._low_since + SETTLE_US:
-            gc.collect()  # reference cycles, and Python's lists of free objects, keep pages
-            self._return_memory(now)
+            if self._peak_bytes >= MIN_PEAK_FACTOR * account.watched_bytes:
+                gc.collect()  # reference cycles, and Python's lists of free objects, keep pages
+                self._return_memory(now)
+            self._peak_bytes = 0
             self._is_running = False
             return
         has_halved = account.held_bytes <= self._peak_bytes // 2
--- a/oakbridge/node/server_connection.py
+++ b/oakbridge/node/server_connection.py
@@ -15,12 +15,11 @@
 from typing import TYPE_CHECKING
 
 from oakbridge.node.attempt import Attempt, AttemptEnd, ResponseSink
-from oakbridge.node.chunked_encoding import encode_chunk
 from oakbridge.node.clock import Timer
 from oakbridge.node.memory_account import CONNECTION_BYTES, MemoryShare
-from oakbridge.node.request_body import StreamedBody
 from oakbridge.node.response_parser import ResponseError, ResponseParser
 from oakbridge.node.system_errors import is_local_connect_error, is_resource_error
+from oakbridge.node.unsent_request import UnsentRequest
 from oakbridge.policy.events import AttemptResult
 
 if TYPE_CHECKING:
@@ -29,9 +28,6 @@
 log = logging.getLogger(__name__)
 
 READ_BYTES = 64 * 1024
-# A body up to this size is copied behind its head, so that both are written with one call.
-MAX_COPIED_BODY_BYTES = 16 * 1024
-_NOTHING_UNSENT = memoryview(b"")
 # Maximum pause within a buffered response; a server that pauses longer is taken to have failed.
 STALL_TIMEOUT_US = 1_000_000
 # Maximum pause within a streamed response; longer, as its request can't be retried any more.
@@ -49,7 +45,6 @@
 
     __slots__ = (
         "_awaits_writable",
-        "_body",
         "_has_served",
         "_memory",
         "_pool",
@@ -57,7 +52,6 @@
         "_sock",
         "_timer",
         "_unsent",
-        "_unsent_body",
         "attempt",
         "closed",
         "connected",
@@ -81,10 +75,7 @@
         self.closed = False
         self.idle_since = 0
         self._awaits_writable = False
-        # The bytes that the socket has not taken yet; None: nothing was written.
-        self._unsent: memoryview | None = None
-        self._unsent_body: bytes | bytearray = b""  # of the client's request, after ``_unsent``
-        self._body: StreamedBody | None = None  # the rest of a streamed body, after ``_unsent``
+        self._unsent = UnsentRequest()
         self.paused = False  # the buffers towards the client are full
         self._timer: Timer | None = None  # timeout of the dial, then of each pause in a response
         self._response = ResponseParser(self._open_sink, pool.memory)
@@ -142,7 +133,7 @@
     def send(self, attempt: Attempt) -> None:
         """Write an attempt to this idle connection."""
         self._response.reset()
-        self._unsent = None
+        self._unsent.clear()
         self.paused = False
         self.attempt = attempt
         attempt.connection = self
@@ -155,13 +146,10 @@
             # forgotten the first attempt.
             self._pool.loop.call_soon(self._pool.fail_unsent, attempt)
             return
-        head, body = attempt.render(max(1, attempt.deadline - now))
-        if len(body) <= MAX_COPIED_BODY_BYTES:
-            head, body = head + body, b""
-        self._unsent, self._unsent_body = memoryview(head), body
-        self._body = attempt.streamed_body
-        if self._body is not None:
-            self._body.attach(self._on_body_available)
+        request = attempt.render(max(1, attempt.deadline - now))
+        self._unsent.start(request, attempt.streamed_body)
+        if attempt.streamed_body is not None:
+            attempt.streamed_body.attach(self._on_body_available)
         self._write()
 
     def _on_body_available(self) -> None:
@@ -169,42 +157,17 @@
         if self.connected and not self.closed and not self._awaits_writable:
             self._run_guarded(self._write)
 
-    def _next_body_part(self) -> bytes | bytearray:
-        """Return the next bytes of the body; empty if there are none, or no more."""
-        if self._unsent_body:
-            part, self._unsent_body = self._unsent_body, b""
-            return part
-        body = self._body
-        if body is None:
-            return b""
-        chunked = body.length is None
-        if data := body.take():
-            return encode_chunk(data) if chunked else data
-        if body.complete:
-            self._body = None
-            return encode_chunk(b"") if chunked else b""
-        return b""
-
     def request_written(self) -> bool:
         """Return whether the socket took the request's last byte, so that the server may run it."""
-        if self._unsent is None or self._unsent or self._unsent_body:
-            return False
-        return self._body is None
+        return self._unsent.is_written()
 
     def _write(self) -> None:
-        """Write as much as the socket takes; ``_unsent`` is empty once the last byte is written."""
-        had_body = self._body is not None
+        """Write as much of the request as there is and as the socket takes."""
+        unsent = self._unsent
+        was_streaming = unsent.is_streaming()
         try:
-            while True:
-                while self._unsent:
-                    self._unsent = self._unsent[self._sock.send(self._unsent) :]
-                # An idle connection would otherwise keep the bytes that it sent last.
-                self._unsent = _NOTHING_UNSENT
-                if self._body is None and not self._unsent_body:
-                    break
-                if not (part := self._next_body_part()):
-                    break
-                self._unsent = memoryview(part)
+            while part := unsent.next_part():
+                unsent.advance(self._sock.send(part))
         except BlockingIOError:
             self._await_writable(self._write)
             self._update_memory()
@@ -219,7 +182,7 @@
             return
         self._stop_awaiting_writable()
         self._update_memory()
-        body_sent = had_body and self._body is None
+        body_sent = was_streaming and not unsent.is_streaming()
         if body_sent and self.attempt is not None and self.attempt.on_request_sent is not None:
             self.attempt.on_request_sent()
 
@@ -295,9 +258,7 @@
 
     def _update_memory(self) -> None:
         """State the memory that this connection holds; a buffered body is held by its client."""
-        held = CONNECTION_BYTES + self._response.held_bytes()
-        if self._unsent and isinstance(self._unsent.obj, bytes):
-            held += len(self._unsent)
+        held = CONNECTION_BYTES + self._response.held_bytes() + self._unsent.held_bytes()
         if held != self._memory.held_bytes:
             self._memory.set(held)
 
@@ -410,7 +371,7 @@
         self._stop_awaiting_writable()
         self._sock.close()
         # An attempt that has ended may still refer to this connection.
-        self._unsent_body = b""
+        self._unsent.release()
         self._response.release()
         self._memory.set(0)
         self._pool.remove(self)
