Have a predecessor report the memory that it takes, not only what it holds

What was seen: trials of a hand-over under 200 clients with bodies of 520,000 bytes. The two processes of the node took 195 MB together (Pss; 215 by Rss), where 192 are allowed.

Cause: the predecessor reported its account, which falls at once, and free memory stays with the process until the next check returns it.

Why the fix works: it reports its resident memory beyond an idle process if that is more, so that the successor takes only what is really free. Free memory is returned four times a second at most, not once.

--- a/oakbridge/handover/messages.py
+++ b/oakbridge/handover/messages.py
@@ -90,7 +90,7 @@
 
     attempts: int  # in flight to servers
     connections: int  # from clients and to servers; each is one descriptor
-    # Bytes that its memory account holds; None: the predecessor's release does not send it.
+    # Bytes that it takes beyond an idle process; None: the predecessor's release does not send it.
     memory_bytes: int | None = None
 
 
--- a/oakbridge/handover/predecessor.py
+++ b/oakbridge/handover/predecessor.py
@@ -220,7 +220,7 @@
         load = RemainingLoad(
             attempts=node.balancer.admission.in_flight,
             connections=node.server.connection_count() + node.pool.connection_count,
-            memory_bytes=node.memory.held_bytes,
+            memory_bytes=node.server.memory_monitor.used_bytes(),
         )
         if load != last_report:
             self._send(load)
--- a/oakbridge/node/memory_monitor.py
+++ b/oakbridge/node/memory_monitor.py
@@ -25,7 +25,7 @@
 # What a process may take beyond its idle memory without being counted.
 PROCESS_MARGIN_BYTES = 3 * BYTES_PER_MB
 CHECK_INTERVAL_US = 50_000
-MIN_TRIM_INTERVAL_US = 1_000_000
+MIN_TRIM_INTERVAL_US = 250_000
 MIN_PEAK_FACTOR = 2  # of the watched amount; memory is returned after a higher peak
 SETTLE_US = 2_000_000  # the checks end when less has been held for this long
 LOG_INTERVAL_US = 1_000_000
@@ -90,12 +90,16 @@
         account.on_watched = self.start
         self._update_limit()
 
-    def reserve_for_predecessor(self, held_bytes: int | None) -> None:
+    def used_bytes(self) -> int:
+        """Return what this process takes beyond an idle one, also free memory that it has kept."""
+        return max(self._account.held_bytes, resident_bytes() - PROCESS_BYTES)
+
+    def reserve_for_predecessor(self, used_bytes: int | None) -> None:
         """Reduce the limit by the memory of the predecessor; None: it has exited.
 
-        ``held_bytes``: what its account holds.
+        ``used_bytes``: what it takes beyond an idle process.
         """
-        self._other_bytes = 0 if held_bytes is None else PROCESS_BYTES + held_bytes
+        self._other_bytes = 0 if used_bytes is None else PROCESS_BYTES + used_bytes
         self._update_limit()
 
     def _update_limit(self) -> None:
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -229,7 +229,7 @@
     def share_limits(self, predecessor_descriptors: int, predecessor_memory: int | None) -> None:
         """Reduce the limits by the descriptors and the memory that the predecessor still holds.
 
-        ``predecessor_memory``: bytes that its memory account holds; None: the predecessor has exited.
+        ``predecessor_memory``: bytes that it takes beyond an idle process; None: it has exited.
         """
         self.server.memory_monitor.reserve_for_predecessor(predecessor_memory)
         total = self.config.sockets - predecessor_descriptors
