Close the connections to agents before a fleet command's event loop ends

Cause: FleetClient keeps a TLS connection to each agent, and these commands ended their event loop without closing it; the stream is closed by its finalizer, on a loop that has gone. Change: FleetClient is an asynchronous context manager, and run_with_client runs a command's calls and closes the connections in the same loop, also after an error; `rebuild` and rollouts closed them only where no error came first, and go the same way now. Checked, with an owner each: the streams of member queries, push-pull exchanges, control sockets, agents' queries of nodes, agents' servers and discovery.

--- a/oakbridge/cli/fleet.py
+++ b/oakbridge/cli/fleet.py
@@ -24,7 +24,7 @@
     members_view,
 )
 from oakbridge.fleet import messages, pki
-from oakbridge.fleet.client import FleetClient
+from oakbridge.fleet.client import FleetClient, run_with_client
 from oakbridge.fleet.errors import InventoryError, PkiError
 from oakbridge.fleet.health import is_healthy
 from oakbridge.fleet.identity import Identity, IdentityKind, Role
@@ -233,7 +233,7 @@
             raise click.exceptions.Exit(1)
         return
     client = operator_client(folder, operator, within)
-    responses = asyncio.run(client.call_all(messages.StatusRequest()))
+    responses = run_with_client(client, lambda fleet: fleet.call_all(messages.StatusRequest()))
     rows = instance_rows(responses)
     if as_json:
         print_json({"agents": [agent_row(response) for response in responses], "instances": rows})
@@ -265,11 +265,12 @@
     client = operator_client(folder, operator, max(1.0, every))
     console = Console()
     if as_json or not console.is_terminal:
-        asyncio.run(_watch(client, every, count, None if as_json else console.print))
+        show = None if as_json else console.print
+        run_with_client(client, lambda fleet: _watch(fleet, every, count, show))
     else:
         with Live(console=console, auto_refresh=False) as live:
-            show = functools.partial(live.update, refresh=True)
-            asyncio.run(_watch(client, every, count, show))
+            update = functools.partial(live.update, refresh=True)
+            run_with_client(client, lambda fleet: _watch(fleet, every, count, update))
 
 
 async def _watch(
--- a/oakbridge/cli/rollout/commands.py
+++ b/oakbridge/cli/rollout/commands.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import replace
 from pathlib import Path
 
@@ -19,6 +18,7 @@
     read_journal,
     rollback_sources,
 )
+from oakbridge.fleet.client import run_with_client
 from oakbridge.rollout.change import Drain, RollBackRollout, Undrain
 from oakbridge.rollout.coordinator import RolloutOptions
 
@@ -36,7 +36,7 @@
 def plan(folder: Path, operator: str, waves: WaveArguments, as_json: bool) -> None:
     """Show the waves in which a change would go out; nothing is sent."""
     client = operator_client(folder, operator, CALL_TIMEOUT_S)
-    targets, unreachable = asyncio.run(find_targets(client, waves.only))
+    targets, unreachable = run_with_client(client, lambda fleet: find_targets(fleet, waves.only))
     names = [[target.name for target in wave] for wave in waves.plan(targets)]
     if as_json:
         print_json({"waves": names, "unseen": unreachable})
@@ -134,7 +134,7 @@
 ) -> None:
     """Have drained nodes run again (all, or those of --only)."""
     client = operator_client(folder, operator, CALL_TIMEOUT_S)
-    targets, _ = asyncio.run(find_targets(client, waves.only))
+    targets, _ = run_with_client(client, lambda fleet: find_targets(fleet, waves.only))
     drained = tuple(target.name for target in targets if target.is_drained)
     if not drained:
         raise InvalidInputError("undrain: no instance is drained")
--- a/oakbridge/cli/rollout/doctor_command.py
+++ b/oakbridge/cli/rollout/doctor_command.py
@@ -20,6 +20,7 @@
 )
 from oakbridge.cli.rollout.session import CALL_TIMEOUT_S, open_journal
 from oakbridge.fleet import messages, pki
+from oakbridge.fleet.client import run_with_client
 from oakbridge.fleet.errors import PkiError
 from oakbridge.rollout.doctor import Finding, Severity, diagnose
 from oakbridge.rollout.journal import JournalError
@@ -40,7 +41,7 @@
     members = None if via is None else asyncio.run(query_members_via(via, secret_file))
     client = operator_client(folder, operator, CALL_TIMEOUT_S)
     with open_journal(folder) as journal:
-        responses = asyncio.run(client.call_all(messages.StatusRequest()))
+        responses = run_with_client(client, lambda fleet: fleet.call_all(messages.StatusRequest()))
         try:
             entries = journal.entries()
         except JournalError as error:
--- a/oakbridge/cli/rollout/journal_commands.py
+++ b/oakbridge/cli/rollout/journal_commands.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from collections import Counter
 from pathlib import Path
@@ -17,7 +16,7 @@
 from oakbridge.cli.fleet import command, folder_option, operator_client, operator_option
 from oakbridge.cli.rollout.session import CALL_TIMEOUT_S, open_journal, read_journal
 from oakbridge.fleet import messages
-from oakbridge.fleet.client import FleetClient
+from oakbridge.fleet.client import FleetClient, run_with_client
 from oakbridge.rollout.change import ReplaceFiles
 from oakbridge.rollout.journal import Journal, JournalEntry
 from oakbridge.rollout.rebuild import RebuiltRollout, rebuild
@@ -79,7 +78,7 @@
     """Add the rollouts that the journal lacks and agents remember."""
     client = operator_client(folder, operator, CALL_TIMEOUT_S)
     with open_journal(folder) as journal:
-        entries, silent = asyncio.run(_missing_entries(client, journal))
+        entries, silent = run_with_client(client, lambda fleet: _missing_entries(fleet, journal))
         for entry in entries:
             journal.add(entry)
     if as_json:
@@ -108,7 +107,6 @@
         for rollout in rebuild(reports, silent)
         if rollout.id not in known
     ]
-    operator.close()
     return entries, silent
 
 
--- a/oakbridge/cli/rollout/session.py
+++ b/oakbridge/cli/rollout/session.py
@@ -19,7 +19,7 @@
 from oakbridge.cli.rollout.options import WaveArguments
 from oakbridge.cli.rollout.view import render
 from oakbridge.fleet import messages
-from oakbridge.fleet.client import FleetClient, LeaseResult
+from oakbridge.fleet.client import FleetClient, LeaseResult, run_with_client
 from oakbridge.rollout.change import Change, RollBackRollout
 from oakbridge.rollout.coordinator import JOURNAL_TIMEOUT_S, Coordinator, RolloutOptions
 from oakbridge.rollout.journal import (
@@ -113,7 +113,7 @@
         """Acquire the lease, run, and release the lease, also if the run fails."""
         operator = operator_client(self.folder, self.operator_name, CALL_TIMEOUT_S)
 
-        async def run_and_release(journal: Journal) -> RolloutResult:
+        async def run_and_release(operator: FleetClient, journal: Journal) -> RolloutResult:
             lease = await acquire_lease(operator)
             result: RolloutResult | None = None
             try:
@@ -121,11 +121,10 @@
                 return result
             finally:
                 await operator.release_lease(lease if result is None else result.coordinator.lease)
-                operator.close()
 
         with open_journal(self.folder) as journal:
             try:
-                return asyncio.run(run_and_release(journal))
+                return run_with_client(operator, lambda fleet: run_and_release(fleet, journal))
             except JournalError as error:
                 raise InvalidInputError(str(error)) from None
 
--- a/oakbridge/fleet/client.py
+++ b/oakbridge/fleet/client.py
@@ -5,8 +5,10 @@
 import asyncio
 import random
 import ssl
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import TypeVar
 
 from oakbridge.fleet import quorum
 from oakbridge.fleet.codec import US_PER_S, encode_request
@@ -30,6 +32,8 @@
 MAX_LEASE_RETRIES = 30  # of a lease request at agents that responded with 5xx
 MAX_RELEASE_RETRIES = 5  # of a release at agents that responded with 5xx
 
+Result = TypeVar("Result")
+
 
 @dataclass(frozen=True, slots=True)
 class AgentResponse:
@@ -113,6 +117,14 @@
         calls = (self.call(name, request, timeout_s) for name in names)
         return list(await asyncio.gather(*calls))
 
+    async def __aenter__(self) -> FleetClient:
+        """Return the client; its connections close when the block ends."""
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Close all connections, while their event loop runs."""
+        self.close()
+
     def close(self) -> None:
         """Close all connections."""
         for connection in self._connections.values():
@@ -202,3 +214,16 @@
     return [
         response for response in responses if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
     ]
+
+
+def run_with_client(client: FleetClient, use: Callable[[FleetClient], Awaitable[Result]]) -> Result:
+    """Run ``use`` in an event loop of its own, and close the client's connections before it ends.
+
+    A connection that outlives its event loop can't be closed any more.
+    """
+
+    async def use_and_close() -> Result:
+        async with client:
+            return await use(client)
+
+    return asyncio.run(use_and_close())
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -1,6 +1,5 @@
 """An agent process with real nodes: steps, rollbacks, restarts and operators' leases."""
 
-import asyncio
 import json
 import os
 import signal
@@ -14,7 +13,7 @@
 
 from oakbridge.agent.node_process import listener_pid
 from oakbridge.fleet import messages, pki
-from oakbridge.fleet.client import FleetClient
+from oakbridge.fleet.client import FleetClient, run_with_client
 from oakbridge.fleet.identity import Identity, IdentityKind, Role
 from oakbridge.fleet.inventory import Inventory, read_inventory, write_inventory
 from oakbridge.fleet.quorum import majority
@@ -91,7 +90,8 @@
 
     def call(self, request, operator: str = "kari"):
         tls = pki.tls_context(self.fleet / "ca.crt", self.fleet / operator, server=False)
-        return asyncio.run(FleetClient(self.inventory, tls).call("h1", request))
+        client = FleetClient(self.inventory, tls)
+        return run_with_client(client, lambda fleet: fleet.call("h1", request))
 
     def acquire_lease(self, token: int, operator: str = "kari", duration_s: float = 60):
         return self.call(messages.LeaseRequest(token, int(duration_s * US_PER_S)), operator)
