Run a request's time while the node does not read it, whoever holds it up

Cause: the time of a request whose body is streamed began twice too late: when its last byte was read (also where the node itself had paused reading, as the server took nothing), and again when the last byte was written to the server, with the whole timeout each. Before that, only the 30 s of an upload ended it. Change: one rule in ClientRequest.time_left. The timeout runs from the last byte, and before it while the node is behind its client (ReadDelay): it has paused reading, or has not read all that has arrived. It stands still only while the node waits for the client. When it is up the attempt ends, unwritten, and the request is rejected with 503. A pause also counts for pipelined requests that were sent during it. RequestBodySent no longer restarts the time, only the server's latency. Why it works: what the node can't see is at most what waited on the client's machine while the node was behind, and all of that is now counted.

--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -19,6 +19,7 @@
 from oakbridge.node.invariants import Invariant
 from oakbridge.node.memory_account import CONNECTION_BYTES, SMALL_READ_BYTES, MemoryShare
 from oakbridge.node.read_deadlines import MIN_BODY_BYTES_PER_CHECK, ClientProgress
+from oakbridge.node.read_delay import ReadDelay
 from oakbridge.node.request_parser import RequestParser, RequestPhase
 from oakbridge.node.response_writer import (
     CONTINUE,
@@ -68,6 +69,7 @@
         "parser",
         "pending",
         "progress",
+        "read_delay",
         "reading_paused",
         "response_stream",
         "state",
@@ -86,6 +88,7 @@
         self._memory.set(CONNECTION_BYTES)
         self.parser = RequestParser(self, server.memory)
         self.progress = ClientProgress()
+        self.read_delay = ReadDelay()
         self.in_flight: ClientRequest | None = None
         self.pending: deque[ClientRequest] = deque()  # received, not dispatched yet
         self.reading_paused = False  # PAUSE_READING_AT requests are pending
@@ -117,8 +120,12 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - asyncio's signature
         """Return the buffer that all connections share; it is parsed before the next read."""
-        buffer = self._server.read_buffer
-        return buffer[:SMALL_READ_BYTES] if self._server.memory.is_short() else buffer
+        return self._server.read_buffer[: self._max_read_bytes()]
+
+    def _max_read_bytes(self) -> int:
+        """Return how many bytes one read takes at most."""
+        server = self._server
+        return SMALL_READ_BYTES if server.memory.is_short() else len(server.read_buffer)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes.
@@ -126,6 +133,7 @@
         A malformed request closes the connection, after the responses to earlier requests.
         """
         self.progress.bytes_received += nbytes
+        self._update_read_delay(nbytes)
         if self.parser.error_status or self.is_closing():
             return  # discarded: see _close_write_side
         limits = self._server.limits
@@ -144,6 +152,8 @@
         if len(self.pending) >= pause_at and not self.reading_paused:
             self.reading_paused = True
             self.update_reading()
+        if not (self.read_delay.is_behind() or self.parser.in_progress()):
+            self.read_delay.reset()
         self.update_memory()
 
     def pause_writing(self) -> None:
@@ -168,11 +178,21 @@
     # ---- the parser's callbacks
 
     def last_received_at(self) -> int:
-        """Return when the last bytes reached this machine, in microseconds of the node's clock.
+        """Return when the client may have sent the last bytes, in microseconds of the node's clock.
 
-        The client's timeout runs from then, and not from when the event loop read the bytes.
+        That is when they reached this machine, not when the event loop read them, and earlier if
+        they may have waited on the client's machine because the node was behind.
         """
-        return self._server.clock.now() - last_received_ago_us(self._sock)
+        now = self._server.clock.now()
+        waited_us = max(last_received_ago_us(self._sock), self.read_delay.total_us(now))
+        return now - waited_us
+
+    def _update_read_delay(self, nbytes: int) -> None:
+        """Note whether a read has left bytes that had arrived; ``nbytes``: what was read."""
+        if nbytes >= self._max_read_bytes() and self.has_unread_bytes():
+            self.read_delay.start(self._server.clock.now())
+        elif self.read_delay.is_behind():
+            self.read_delay.stop(self._server.clock.now())
 
     def on_head(self) -> None:
         """Stop the timeout of the head, as the body has its own; send 100 Continue if expected."""
@@ -200,14 +220,22 @@
         self.pending.append(request)
         self.update_reading()
 
+    def on_body_received(self, request: ClientRequest) -> None:
+        """Report that the streamed body of a request is complete, if it has been dispatched."""
+        if request is self.in_flight:
+            self._server.handler.on_body_received(request)
+
     def update_reading(self) -> None:
         """Pause reading if too many requests, or too much of a streamed body, are pending."""
         if self.transport is None or self.is_closing():
             return
         if self.reading_paused or self.parser.body_is_held_back():
             self.transport.pause_reading()
-        else:
+            self.read_delay.start(self._server.clock.now())
+        elif not self.transport.is_reading():
             self.transport.resume_reading()
+            if not self.has_unread_bytes():
+                self.read_delay.stop(self._server.clock.now())
 
     def update_memory(self) -> None:
         """State the memory that this connection, its requests and its unsent responses hold."""
--- a/oakbridge/node/client_request.py
+++ b/oakbridge/node/client_request.py
@@ -74,7 +74,8 @@
         self.http10 = False  # HTTP/1.0 has no chunked transfer coding
         self.keep_alive = True
         self.id = 0  # the balancer's number of the request; 0: not passed to the balancer
-        self.received_at = 0  # when the request was complete
+        # When the client may have sent the last byte; until then, when its body began to be streamed.
+        self.received_at = 0
         self.timeout_us: int | None = None  # from X-Timeout; None: no such header
         self.respond_by: int | None = None  # deadline set by the node's shutdown; None: none
         self.overdue_timer: Timer | None = None
@@ -92,6 +93,21 @@
         if self.streamed_body is not None:
             self.streamed_body.discard()
 
+    def time_left(self, now: int) -> int:
+        """Return how long the client still waits, in microseconds; negative once its time is up.
+
+        The timeout runs from the request's last byte.  Before that, it runs while the node does not
+        read what the client may have sent, also if that is because a server does not take it.
+        """
+        timeout = self.timeout_us or 0
+        if self.is_incomplete():
+            return timeout - self.client.read_delay.total_us(now)
+        return self.received_at + timeout - now
+
+    def is_incomplete(self) -> bool:
+        """Return whether the rest of the body is still being received."""
+        return self.streamed_body is not None and not self.streamed_body.complete
+
     def mark_rejected_for_memory(self) -> None:
         """Mark a request that has neither headers nor a body, as it is rejected."""
         self.rejected_for_memory = True
--- a/oakbridge/node/connection_pool.py
+++ b/oakbridge/node/connection_pool.py
@@ -232,10 +232,10 @@
             self._set_timer(attempt, deadline)
 
     def _set_timer(self, attempt: Attempt, deadline: int) -> None:
-        attempt.timer = self.clock.call_at(deadline, lambda: self._on_deadline(attempt))
+        attempt.timer = self.clock.call_at(deadline, lambda: self.expire(attempt))
 
     @staticmethod
-    def _on_deadline(attempt: Attempt) -> None:
+    def expire(attempt: Attempt) -> None:
         """End an attempt at its deadline; without its last byte, the request can't have run."""
         if not attempt.ended:
             written = attempt.connection is not None and attempt.connection.abort()
--- a/oakbridge/node/dispatcher.py
+++ b/oakbridge/node/dispatcher.py
@@ -27,11 +27,14 @@
     Event,
     RequestBodySent,
     RequestReceived,
+    TimeLeftChanged,
     TimerFired,
 )
 
 log = logging.getLogger(__name__)
 
+TIMED_EVENTS = (RequestReceived, RequestBodySent, TimeLeftChanged)  # they have a ``time_left``
+
 
 class RequestActions(Protocol):
     """Executes the balancer's actions for requests that arrived over HTTP."""
@@ -115,7 +118,7 @@
     def _handle(self, event: Event, as_of: int | None) -> None:
         """Handle one event, and its actions in order; an exception only fails its request."""
         now = self._clock.now()
-        if as_of is not None and isinstance(event, RequestReceived | RequestBodySent):
+        if as_of is not None and isinstance(event, TIMED_EVENTS):
             # The process may have been paused since, while the client's timeout goes on.
             event.time_left = max(0, event.time_left - (now - as_of))
         try:
--- a/oakbridge/node/forwarded_attempt.py
+++ b/oakbridge/node/forwarded_attempt.py
@@ -35,7 +35,7 @@
 
     def render(self, timeout_us: int) -> EncodedRequest:
         """Return the bytes to write, with a timeout of at most the time left to the client."""
-        time_left = self._forwarder.client_time_left(self.request)
+        time_left = self.request.time_left(self._forwarder.now())
         return encode_request(self.request, max(1, min(timeout_us, time_left)))
 
     def is_wanted(self) -> bool:
--- a/oakbridge/node/http_server.py
+++ b/oakbridge/node/http_server.py
@@ -48,6 +48,9 @@
     def handle_request(self, request: ClientRequest) -> None:
         """Handle a request; it must get exactly one response."""
 
+    def on_body_received(self, request: ClientRequest) -> None:
+        """Set the deadline of a request whose streamed body is complete."""
+
     def reject_for_memory(self, request: ClientRequest) -> None:
         """Reject a request that arrived when the node's memory limit was reached."""
 
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -30,6 +30,7 @@
     Event,
     RequestBodySent,
     RequestReceived,
+    TimeLeftChanged,
 )
 from oakbridge.policy.settings import ReportSource, Settings
 
@@ -101,7 +102,8 @@
         """Hand a request to the balancer, which decides about it until its response."""
         class_name = request.header_text(b"x-priority-class")
         now = self._clock.now()
-        due = self._due(request, self._classes[class_name].deadline)
+        if request.timeout_us is None:
+            request.timeout_us = self._classes[class_name].deadline
         if self._endpoints.all_offline():  # it is useless to wait for a server
             retry_after = [(b"retry-after", b"1")] if self._settings.max_retry_after else []
             request.client.respond(request, 503, retry_after, b"")
@@ -116,21 +118,21 @@
         request.id = next(self._ids)
         self.requests[request.id] = request
         self.open_ids.add(request.header_values[b"x-request-id"])
-        body = request.streamed_body
-        if body is None or body.complete:
-            # The balancer finishes each request before this timer, which guards against a request
-            # that the balancer has forgotten.
-            self._set_overdue_timer(request, max(due, now + 1))
+        time_left = self._response_time_left(request, now)
+        if request.is_incomplete():
+            self._set_upload_timer(request, now)
+        else:
+            self._set_overdue_timer(request, now + time_left)
         self._post(
             RequestReceived(
                 request.id,
                 class_name,
-                max(0, due - now),
+                time_left,
                 self._tenant(request),
                 request.header_values.get(b"x-retried") == b"1",
                 request.header_text(b"x-route-key"),
                 _cost(request),
-                streamed=body is not None,
+                streamed=request.streamed_body is not None,
             ),
             now,
         )
@@ -141,23 +143,50 @@
         self.rejected += 1
         self.unserved.add(UnservedReason.MEMORY_LIMIT, self._clock.now())
 
-    def client_time_left(self, request: ClientRequest) -> int:
-        """Return how long the client still waits; its timeout starts with its last byte."""
-        timeout = request.timeout_us or 0
-        body = request.streamed_body
-        if body is not None and not body.complete:
-            return timeout
-        return request.received_at + timeout - self._clock.now()
+    def now(self) -> int:
+        """Return the current time."""
+        return self._clock.now()
 
     @staticmethod
-    def _due(request: ClientRequest, class_deadline: int) -> int:
-        """Return the deadline of a request's response."""
-        if request.timeout_us is None:
-            request.timeout_us = class_deadline
-        due = request.received_at + request.timeout_us
+    def _response_time_left(request: ClientRequest, now: int) -> int:
+        """Return how long a response may still take, for its client and for a shutdown."""
+        time_left = request.time_left(now)
         if request.respond_by is not None:
-            due = min(due, request.respond_by - SHUTDOWN_MARGIN_US)
-        return due
+            time_left = min(time_left, request.respond_by - SHUTDOWN_MARGIN_US - now)
+        return max(0, time_left)
+
+    # ---- streamed bodies
+
+    def _set_upload_timer(self, request: ClientRequest, now: int) -> None:
+        """Check a request again when its time may be up although its body is not complete."""
+        request.overdue_timer = self._clock.call_at(
+            now + max(1, request.time_left(now)), lambda: self._on_upload_timer(request)
+        )
+
+    def _on_upload_timer(self, request: ClientRequest) -> None:
+        if request.response_settled or not request.is_incomplete():
+            return
+        now = self._clock.now()
+        if request.time_left(now) > 0:
+            self._set_upload_timer(request, now)
+            return
+        if request.attempt is not None:
+            self._pool.expire(request.attempt)
+        if not request.response_settled:
+            self._set_overdue_timer(request, now)
+            self._post(TimeLeftChanged(request.id, 0), now)
+
+    def on_body_received(self, request: ClientRequest) -> None:
+        """Set the deadline of a request whose streamed body is complete."""
+        if request.response_settled or not request.id:
+            return
+        now = self._clock.now()
+        time_left = self._response_time_left(request, now)
+        self._cancel_overdue_timer(request)
+        self._set_overdue_timer(request, now + time_left)
+        if request.attempt is not None:
+            self._pool.set_deadline(request.attempt, now + time_left)
+        self._post(TimeLeftChanged(request.id, time_left), now)
 
     def _tenant(self, request: ClientRequest) -> str:
         """Return the tenant, or "" if it is not in the settings.
@@ -176,6 +205,7 @@
             self._post(ClientDisconnected(request.id))
 
     def _set_overdue_timer(self, request: ClientRequest, due: int) -> None:
+        """Guard against a request that the balancer has forgotten; it finishes all others before."""
         request.overdue_timer = self._clock.call_at(
             due + OVERDUE_GRACE_US, lambda: self._on_overdue(request)
         )
@@ -241,15 +271,13 @@
         )
 
     def on_body_sent(self, forwarded: ForwardedAttempt) -> None:
-        """Start the request's timeout now, as the last byte of its streamed body is written."""
+        """Measure the server's latency from now, as the last byte of a streamed body is written."""
         request = forwarded.request
         if request.response_settled or request.attempt is None:
             return
-        now, timeout = self._clock.now(), request.timeout_us or 0
-        request.body_sent_at = now
-        self._pool.set_deadline(request.attempt, now + timeout)
-        self._set_overdue_timer(request, now + timeout)
-        self._post(RequestBodySent(request.id, forwarded.number, timeout), now)
+        now = request.body_sent_at = self._clock.now()
+        time_left = self._response_time_left(request, now)
+        self._post(RequestBodySent(request.id, forwarded.number, time_left), now)
 
     def cancel(self, action: CancelAttempt) -> None:
         """Cancel an attempt, if it is in flight."""
--- a/oakbridge/node/request_parser.py
+++ b/oakbridge/node/request_parser.py
@@ -250,7 +250,7 @@
             self._buffer(data)
 
     def on_message_complete(self) -> None:
-        """Pass a complete request to the connection; its timeout starts here."""
+        """Pass a complete request to the connection."""
         if self._offers_upgrade:
             return  # only its head was parsed
         self._completed_count += 1
@@ -259,6 +259,7 @@
             self.streamed_request = None
             request.received_at = self._connection.last_received_at()
             request.streamed_body.finish()
+            self._connection.on_body_received(request)
         elif not self.error_status:
             self._connection.on_request(self._build_request(self._body))
         self._reset_message()
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -75,6 +75,7 @@
         self._handlers: dict[type, Callable[[int, Any], None]] = {
             events.RequestReceived: self._on_request_received,
             events.RequestBodySent: self._on_request_body_sent,
+            events.TimeLeftChanged: self._on_time_left_changed,
             events.ResponseStarted: self._on_response_started,
             events.ClientDisconnected: self._on_client_disconnected,
             events.AttemptEnded: self._on_attempt_ended,
@@ -218,6 +219,12 @@
             self.times.set(request, event.time_left, now)
             self.timers.expire_at(now, request.expires_at, request.id)
 
+    def _on_time_left_changed(self, now: int, event: events.TimeLeftChanged) -> None:
+        """Set the deadline of a streamed request, which may wait or be in flight."""
+        if request := self.requests.get(event.request_id):
+            self.times.set(request, event.time_left, now)
+            self.timers.expire_at(now, request.expires_at, request.id)
+
     def _send_attempt(self, request: OpenRequest, now: int) -> bool:
         """Send an attempt to the less loaded of two candidates, if there are any."""
         candidates = self.selection.choose_candidates(request, self.admission.in_flight, now)
--- a/oakbridge/policy/events.py
+++ b/oakbridge/policy/events.py
@@ -140,9 +140,8 @@
     key: str = ""  # names the request's subject; requests with the same key are shed alike
     expected_work: int = 0  # a rough estimate; 0: unknown
     write: bool = False
-    streamed: bool = (
-        False  # the body is forwarded as it arrives: one attempt, timed from RequestBodySent
-    )
+    # The body is forwarded as it arrives: there is one attempt, and TimeLeftChanged sets the deadline.
+    streamed: bool = False
 
 
 @dataclass(slots=True)
@@ -154,6 +153,17 @@
     time_left: int
 
 
+@dataclass(slots=True)
+class TimeLeftChanged:
+    """The response is due within ``time_left``, as the end of a streamed body has arrived.
+
+    If 0, the time is up, maybe before the end has arrived.
+    """
+
+    request_id: int
+    time_left: int
+
+
 @dataclass(slots=True)
 class ResponseStarted:
     """The response is being streamed to the client; the request is over for the balancer."""
@@ -200,6 +210,7 @@
     | EndpointsAnnounced
     | RequestReceived
     | RequestBodySent
+    | TimeLeftChanged
     | ResponseStarted
     | AttemptEnded
     | ClientDisconnected
--- a/tests/memory_load.py
+++ b/tests/memory_load.py
@@ -273,6 +273,19 @@
         await asyncio.start_server(lambda r, w: serve(r, w, draw), "127.0.0.1", 0, backlog=1024)
         for _ in range(SERVER_COUNT)
     ]
+    try:
+        async with running_node_before(servers, memory_mb, sockets) as node:
+            yield node
+    finally:
+        for server in servers:
+            server.close()
+
+
+@contextlib.asynccontextmanager
+async def running_node_before(
+    servers: list[asyncio.Server], memory_mb: int, sockets: int
+) -> AsyncIterator[tuple[NodeProcess, int]]:
+    """Start discovery and a node before servers that listen; end them afterwards."""
     with tempfile.TemporaryDirectory() as folder:
         async with ScriptedDiscovery() as discovery:
             config = node_config(discovery.port, servers, memory_mb, sockets)
@@ -282,8 +295,6 @@
                 yield node, int(config["listen"].split(":")[1])
             finally:
                 node.kill()
-                for server in servers:
-                    server.close()
 
 
 async def measure(
--- a/tests/policy/test_streamed.py
+++ b/tests/policy/test_streamed.py
@@ -5,7 +5,13 @@
 
 from oakbridge.policy.actions import CancelAttempt, FailRequest, RejectRequest, SendAttempt
 from oakbridge.policy.balancer import UPLOAD_TIMEOUT_US
-from oakbridge.policy.events import AttemptEnded, AttemptResult, RequestBodySent, RequestReceived
+from oakbridge.policy.events import (
+    AttemptEnded,
+    AttemptResult,
+    RequestBodySent,
+    RequestReceived,
+    TimeLeftChanged,
+)
 
 TIME_LEFT_US = 2_000_000
 
@@ -58,6 +64,17 @@
     assert [action.request_id for action in driver.actions_of(RejectRequest)] == [send.request_id]
 
 
+# Guards against a request that is late because its server takes the body slowly.
+@pytest.mark.parametrize("time_left", [0, TIME_LEFT_US])
+def test_the_deadline_of_a_streamed_request_does_not_wait_for_its_server(time_left):
+    driver = Driver(classes=(READ,))
+    send = send_streamed(driver)
+    driver.run_to(5_000_000)
+    driver.feed(TimeLeftChanged(send.request_id, time_left))
+    driver.run_to(5_000_000 + time_left + 100_000)
+    assert [action.request_id for action in driver.actions_of(RejectRequest)] == [send.request_id]
+
+
 def test_a_request_whose_body_never_ends_is_rejected():
     driver = Driver(classes=(READ,))
     send = send_streamed(driver)
