Pass a long response on though its head tells no length and its time is nearly up

Cause: a response without a length was held until 64 KiB of it had come, as a short one is. A server that begins in time and writes slowly had its answer dropped at the deadline, with 502 or 503, though of a long answer only the first byte is timed. Change: 100 ms before the deadline such a response is streamed, if its server is still writing it. Up to then nothing changes: it may break off and be retried. If it is not long after all and not complete 0.4 s after its deadline, it is aborted, visibly incomplete, as a late end would be lost.

--- a/oakbridge/node/connection_pool.py
+++ b/oakbridge/node/connection_pool.py
@@ -228,6 +228,7 @@
     def set_deadline(self, attempt: Attempt, deadline: int) -> None:
         """Change the deadline of an attempt."""
         if not attempt.ended and attempt.timer is not None:
+            attempt.deadline = deadline
             attempt.timer.cancel()
             self._set_timer(attempt, deadline)
 
--- a/oakbridge/node/response_parser.py
+++ b/oakbridge/node/response_parser.py
@@ -96,6 +96,15 @@
             held += self._body_bytes
         return held
 
+    def may_be_long(self) -> bool:
+        """Return whether the response is buffered, and its head does not tell the body's length."""
+        is_buffered = self._headers_complete and not self.complete and self.sink is None
+        return is_buffered and self.status == STATUS_OK and self.content_length is None
+
+    def is_long(self) -> bool:
+        """Return whether more of the body was received than would be buffered."""
+        return self._body_bytes > MAX_BUFFERED_BYTES
+
     def finish_at_close(self) -> bool:
         """Complete a response that extends to the close of its connection (RFC 9112, 6.3, 8).
 
@@ -172,9 +181,9 @@
             self._body.append(data)
             max_buffered = self._memory.scaled(MAX_BUFFERED_BYTES)
         if max(self._body_bytes, self.content_length or 0) > max_buffered:
-            self._start_streaming()
+            self.start_streaming()
 
-    def _start_streaming(self) -> None:
+    def start_streaming(self) -> None:
         """Write the buffered parts to the sink, which then receives all further parts."""
         self.sink = self._open_sink()
         if self.sink is None:
--- a/oakbridge/node/server_connection.py
+++ b/oakbridge/node/server_connection.py
@@ -32,6 +32,13 @@
 STALL_TIMEOUT_US = 1_000_000
 # Maximum pause within a streamed response; longer, as its request can't be retried any more.
 STREAM_STALL_TIMEOUT_US = 10_000_000
+# A response without a length is streamed from so long before its deadline on: if it is long, only its
+# first byte has to be in time.
+STREAM_START_MARGIN_US = 100_000
+# Maximum age of the last bytes of such a response; without newer ones the server is not writing.
+MAX_PART_AGE_US = 250_000
+# How long after its deadline such a response may end if it is not long: later it would be lost.
+SHORT_RESPONSE_GRACE_US = 400_000
 # The kernel goes on connecting, also after a connect() that a signal interrupted.
 _CONNECTING = (errno.EINPROGRESS, errno.EINTR)
 
@@ -46,8 +53,10 @@
     __slots__ = (
         "_awaits_writable",
         "_has_served",
+        "_length_timer",
         "_memory",
         "_pool",
+        "_received_at",
         "_response",
         "_sock",
         "_timer",
@@ -78,6 +87,8 @@
         self._unsent = UnsentRequest()
         self.paused = False  # the buffers towards the client are full
         self._timer: Timer | None = None  # timeout of the dial, then of each pause in a response
+        self._length_timer: Timer | None = None  # for a response without a length
+        self._received_at = 0  # when the last bytes of a response were received
         self._response = ResponseParser(self._open_sink, pool.memory)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._memory = MemoryShare(pool.memory)
@@ -229,9 +240,36 @@
             self._on_response_complete()
         else:
             self._update_memory()
+            self._schedule_stream_start()
             if not self.paused:
                 self._restart_stall_timer()
 
+    def _schedule_stream_start(self) -> None:
+        """Note that bytes were received; set a timer if they may belong to a long response."""
+        self._received_at = self._pool.clock.now()
+        attempt = self.attempt
+        if self._length_timer is None and attempt is not None and self._response.may_be_long():
+            self._length_timer = self._pool.clock.call_at(
+                attempt.deadline - STREAM_START_MARGIN_US, self._start_stream_before_deadline
+            )
+
+    def _start_stream_before_deadline(self) -> None:
+        """Stream a response that may be long, if its server is still writing it."""
+        attempt, now = self.attempt, self._pool.clock.now()
+        is_written = now - self._received_at <= MAX_PART_AGE_US
+        if attempt is None or not is_written or not self._response.may_be_long():
+            return
+        self._response.start_streaming()
+        if self._response.sink is not None:
+            self._length_timer = self._pool.clock.call_at(
+                attempt.deadline + SHORT_RESPONSE_GRACE_US, self._abort_short_response
+            )
+
+    def _abort_short_response(self) -> None:
+        """Abort a streamed response that is too late, unless it is long."""
+        if self._response.sink is not None and not self._response.is_long():
+            self._fail()
+
     def _restart_stall_timer(self) -> None:
         """Limit pauses in a response; an incomplete one would last until the attempt's deadline.
 
@@ -282,6 +320,7 @@
             self._fail()  # the request is incomplete, so this is not its response
             return
         self._stop_timer()
+        self._stop_length_timer()
         attempt, self.attempt = self.attempt, None
         sink = response.detach_sink()
         if sink is not None:
@@ -330,6 +369,11 @@
             self._timer.cancel()
             self._timer = None
 
+    def _stop_length_timer(self) -> None:
+        if self._length_timer is not None:
+            self._length_timer.cancel()
+            self._length_timer = None
+
     def _run_guarded(self, callback: Callable[[], None]) -> None:
         """Run a callback of the loop; an exception closes only this connection."""
         try:
@@ -367,6 +411,7 @@
             return
         self.closed = True
         self._stop_timer()
+        self._stop_length_timer()
         self._pool.loop.remove_reader(self._sock)
         self._stop_awaiting_writable()
         self._sock.close()
--- a/tests/faults/test_slow_peers.py
+++ b/tests/faults/test_slow_peers.py
@@ -5,7 +5,7 @@
 import pytest
 from memory_load import running_node_before
 from peers import run
-from slow_peers import SlowServer, post
+from slow_peers import ResponsePlan, SlowServer, get, post
 
 TIMEOUT_S = 1.0  # X-Timeout of the requests
 LATE_S = 0.5  # a response that is later than this after its time is lost
@@ -52,3 +52,30 @@
     answers = run(post_many(SlowServer(), 4, 900_000, bytes_per_s=300_000))
     assert [answer.status for answer in answers] == [200] * 4
     assert max(answer.first_byte_s for answer in answers) > 2 * TIMEOUT_S
+
+
+async def get_many(server: SlowServer, count: int):
+    """Have clients send a request without a body each at once; return their answers."""
+    async with (
+        server.listening() as listening,
+        running_node_before([listening], MEMORY_MB, SOCKETS) as (_, port),
+    ):
+        return await asyncio.gather(*(get(port, TIMEOUT_S) for _ in range(count)))
+
+
+# Guards against long responses that are cut off while the server is still writing them.
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("delay_s", [0.0, 0.6])
+def test_long_response_that_begins_in_time_is_complete_though_written_slowly(delay_s, chunked):
+    plan = ResponsePlan(300_000, delay_s, 120_000, chunked)
+    answers = run(get_many(SlowServer(response=plan), 4))
+    assert [(answer.status, answer.is_complete) for answer in answers] == [(200, True)] * 4
+    assert max(answer.first_byte_s for answer in answers) <= TIMEOUT_S + LATE_S
+
+
+# Guards against short responses that end too late, and look complete.
+def test_short_response_of_unknown_length_is_not_completed_after_its_time():
+    plan = ResponsePlan(60_000, 0.0, 20_000, chunked=True)
+    answers = run(get_many(SlowServer(response=plan), 4))
+    assert not [answer for answer in answers if answer.status == 200 and answer.is_complete]
+    assert max(answer.last_byte_s for answer in answers) <= TIMEOUT_S + LATE_S
