Owe a slow client its rate for a body of any size

The balancer had an upload time of its own. Change: that time is what the longest body takes at the slowest rate (600 s). A client that is slower is ended by its reads' deadline as before, and a request that its server or the node holds up by its timeout, since the rule for a request's time. Test: test_a_body_of_the_longest_size_may_be_sent_at_the_slowest_rate failed before (rejected).

--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -35,7 +35,7 @@
 NEVER_RAN_RETRY_COST = 0.2  # low, as an attempt that never ran cost the server no work
 BACKOFF_DIVISOR = 100  # latency objective / delay of the first retry, before jitter of 0.5 to 1.5
 REVIEW_INTERVAL_US = SECOND_US // 2
-UPLOAD_TIMEOUT_US = 30 * SECOND_US  # for a streamed body to be sent
+UPLOAD_TIMEOUT_US = 600 * SECOND_US  # for a streamed body of the longest size at 64 kB a second
 
 
 class Balancer:
--- a/tests/policy/test_streamed.py
+++ b/tests/policy/test_streamed.py
@@ -3,6 +3,7 @@
 import pytest
 from driver import READ, Driver
 
+from oakbridge.node.http_framing import MAX_BODY_BYTES
 from oakbridge.policy.actions import CancelAttempt, FailRequest, RejectRequest, SendAttempt
 from oakbridge.policy.balancer import UPLOAD_TIMEOUT_US
 from oakbridge.policy.events import (
@@ -14,6 +15,7 @@
 )
 
 TIME_LEFT_US = 2_000_000
+SLOWEST_BYTES_PER_S = 64_000  # of a client that sends a body
 
 
 def send_streamed(driver: Driver, number: int = 1000) -> SendAttempt:
@@ -75,6 +77,14 @@
     assert [action.request_id for action in driver.actions_of(RejectRequest)] == [send.request_id]
 
 
+# Guards against a slow client whose long body is given up although it is sent at the owed rate.
+def test_a_body_of_the_longest_size_may_be_sent_at_the_slowest_rate():
+    driver = Driver(classes=(READ,))
+    send_streamed(driver)
+    driver.run_to(MAX_BODY_BYTES // SLOWEST_BYTES_PER_S * 1_000_000)
+    assert not driver.actions_of(RejectRequest)
+
+
 def test_a_request_whose_body_never_ends_is_rejected():
     driver = Driver(classes=(READ,))
     send = send_streamed(driver)
