--- a/oakbridge/node/epoll_selector.py
+++ b/oakbridge/node/epoll_selector.py
@@ -21,6 +21,8 @@
 log = logging.getLogger(__name__)
 
 RETRY_S = 0.01
+# Ready descriptors that one turn of the event loop handles at most: timers are checked between turns.
+MAX_READY = 32
 
 FileObject = Any  # a descriptor, or an object with a fileno() method
 Ready = list[tuple[selectors.SelectorKey, int]]
@@ -91,7 +93,7 @@
             timeout = RETRY_S if timeout is None else min(timeout, RETRY_S)
         wait_s = -1.0 if timeout is None else max(0.0, timeout)
         try:
-            events = self._epoll.poll(wait_s, max(1, len(self._keys)))
+            events = self._epoll.poll(wait_s, MAX_READY)
         except InterruptedError:
             return []
         ready: Ready = []
--- a/tests/node/test_epoll_selector.py
+++ b/tests/node/test_epoll_selector.py
@@ -183,3 +183,20 @@
         assert file.fileno() not in failing.get_map()
     with pytest.raises(ValueError, match="descriptor"):
         failing.register(-1, READ)
+
+
+# Guards against timers that are late because one turn of the event loop serves all connections.
+def test_one_turn_reports_few_descriptors_and_the_next_turns_report_the_others():
+    with ExitStack() as stack:
+        selector = stack.enter_context(EpollSelector())
+        reading = []
+        for _ in range(3 * epoll_selector.MAX_READY):
+            one, other = socket.socketpair()
+            stack.enter_context(one)
+            stack.enter_context(other)
+            other.send(b"x")
+            selector.register(one, READ)
+            reading.append(one.fileno())
+        turns = [ready(selector) for _ in range(3)]
+        assert [len(turn) for turn in turns] == [epoll_selector.MAX_READY] * 3
+        assert sorted(number for turn in turns for number in turn) == sorted(reading)
