Stop to parse a head at its limit of fields or bytes

Cause: a head with more fields than the 512 that are allowed was parsed to its end, with a call in Python for each field, before it got its 431. Change: the field that exceeds a limit ends the parsing; the connection gets 431 at once. Test: 10,002 fields were parsed before, 513 are now.

--- a/oakbridge/node/request_parser.py
+++ b/oakbridge/node/request_parser.py
@@ -38,6 +38,10 @@
 })  # fmt: skip
 
 
+class HeadTooLongError(Exception):
+    """Raised within httptools' callbacks, so that the rest of a head is not parsed."""
+
+
 class RequestPhase(Enum):
     """The part of a request that is being received."""
 
@@ -208,8 +212,9 @@
             self._has_duplicate = self._has_duplicate or name in self._single_values
             self._single_values.append(name)
         self._head_size += len(name) + len(value)
-        if len(self._headers) > MAX_HEADERS:
-            return
+        if len(self._headers) >= MAX_HEADERS or self._head_size > MAX_HEAD_BYTES:
+            self.fail(431)
+            raise HeadTooLongError
         self._headers.append((name, value.strip(b" \t")))  # RFC 9112, 5.1
 
     def on_headers_complete(self) -> None:
@@ -218,8 +223,7 @@
             self._offers_upgrade = True
             return None
         self.phase = _BODY
-        is_too_long = len(self._target) + self._head_size > MAX_HEAD_BYTES
-        if is_too_long or len(self._headers) > MAX_HEADERS:
+        if len(self._target) + self._head_size > MAX_HEAD_BYTES:
             return self.fail(431)
         fault, self._content_length, _ = read_framing(self._headers)
         if self._has_duplicate or fault:
--- a/tests/node/test_request_parser.py
+++ b/tests/node/test_request_parser.py
@@ -1,8 +1,10 @@
-"""Conversion of request targets to origin form."""
+"""Conversion of request targets to origin form, and limits on heads."""
 
 import pytest
+from raw_server import head
 
-from oakbridge.node.request_parser import origin_form
+from oakbridge.node.memory_account import MemoryAccount
+from oakbridge.node.request_parser import MAX_HEADERS, RequestParser, origin_form
 
 
 @pytest.mark.parametrize(
@@ -14,3 +16,20 @@
 )  # fmt: skip
 def test_target_in_absolute_form_is_reduced_to_path_and_query(url, target):
     assert origin_form(url) == target
+
+
+# Guards against clients that take the node's processor time with heads of very many short fields.
+@pytest.mark.parametrize("complete", [True, False])
+def test_head_is_parsed_no_further_than_its_limit(complete):
+    parsed = []
+
+    class CountingParser(RequestParser):
+        def on_header(self, name, value):
+            parsed.append(name)
+            super().on_header(name, value)
+
+    parser = CountingParser(connection=None, memory=MemoryAccount())
+    raw = head("GET")[:-2] + b"a:\r\n" * 10_000 + b"\r\n" * complete
+    assert not parser.feed(memoryview(raw))
+    assert parser.error_status == 431
+    assert len(parsed) == MAX_HEADERS + 1
