Do not keep closed requests for their timers

A request that waited, or whose retry waited, had a callback that held it until its latest time to be sent, up to 10 s after its response. Change: such callbacks hold the request's number, and those of closed requests are removed before they are most of the heap.

--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -326,10 +326,10 @@
         elif not self.budget.take(now, request.tenant, cost):
             self._reject_or_fail(request, UnservedReason.RETRY_BUDGET)
         else:
-            self.timers.call_later(now, delay, lambda then: self._retry_now(request, then))
+            self.timers.call_later_for(now, delay, request.id, self._retry_now)
 
     def _retry_now(self, request: OpenRequest, now: int) -> None:
-        if request.id in self.requests and not request.in_flight and not request.is_queued:
+        if not request.in_flight and not request.is_queued:
             self._send_or_enqueue(request, now)
 
     def _send_or_enqueue(self, request: OpenRequest, now: int) -> bool:
@@ -349,7 +349,7 @@
             # An immediate rejection leaves its client time for a retry.
             self._reject_or_fail(excess, UnservedReason.QUEUE_FULL)
         delay = self.times.latest_dispatch(request) - now
-        self.timers.call_later(now, delay, lambda then: self._reject_late(request, then))
+        self.timers.call_later_for(now, delay, request.id, self._reject_late)
 
     def _reject_late(self, request: OpenRequest, now: int) -> None:
         if request.is_queued and now >= self.times.latest_dispatch(request):
--- a/tests/policy/test_structures.py
+++ b/tests/policy/test_structures.py
@@ -13,7 +13,13 @@
 from oakbridge.policy.quota import BURST_US, Quotas
 from oakbridge.policy.sliding_window import SlidingWindow
 from oakbridge.policy.throughput import MovingMean, Rate, ResultWindow, decayed
-from oakbridge.policy.timers import MAX_STALE_EXPIRIES, SECOND_US, DueQueue, Timers
+from oakbridge.policy.timers import (
+    MAX_STALE_CALLBACKS,
+    MAX_STALE_EXPIRIES,
+    SECOND_US,
+    DueQueue,
+    Timers,
+)
 from oakbridge.policy.waiting_queues import WaitingQueues
 
 ROOT = Path(__file__).parents[2]
@@ -184,3 +190,15 @@
         window.served_us += 100.0
     assert (window.started_at, window.results, window.peak_in_flight) == (50, 3, 3)
     assert window.concurrency(150) == 3.0
+
+
+# Guards against memory that requests keep after their responses, until their latest time to be sent.
+def test_timers_drop_callbacks_of_keys_that_are_no_longer_live():
+    live, called = {1: "one"}, []
+    timers = Timers(1, live, lambda delay, token: None, called.append)
+    timers.call_later_for(0, 50, 1, lambda item, now: called.append((item, now)))
+    for key in range(2, 5_000):
+        timers.call_later_for(0, 1_000 + key, key, lambda item, now: called.append((item, now)))
+    assert len(timers.callbacks) <= 2 * MAX_STALE_CALLBACKS
+    timers.fire(10_000, timers.token)
+    assert called == [("one", 10_000)]
