Release closed connections at once, not with the next collection of cycles

Cause, one part of it: a closed connection stayed in memory, with its parser, until Python's next full collection. RequestParser and ResponseParser refer to their connection and it to them, and the transport to itself. A node that rejects hundreds of connections a second piles them up. Evidence: 32 MB, 600 slow and 300 good clients: 1,375 ClientConnection objects with 365 open, and resident memory that grows by 0.4 MB a second while the account holds 2 MB. Change: the parsers let go of their connection when it closes; the objects of all modules are exempt from collection (gc.freeze) once the node serves, so that what is left (transports) is collected after hundreds and not after ten thousand. A head's memory is counted without a loop over its fields (10 to 16% of the processor time under this load).

--- a/oakbridge/node/request_parser.py
+++ b/oakbridge/node/request_parser.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from oakbridge.node.client_request import ClientRequest, buffer_memory, head_memory
+from oakbridge.node.client_request import ClientRequest, buffer_memory
 from oakbridge.node.http_framing import (
     MAX_BODY_BYTES,
     MAX_FRAMING_PER_BODY_BYTE,
@@ -15,7 +15,7 @@
     Headers,
     read_framing,
 )
-from oakbridge.node.memory_account import MemoryAccount
+from oakbridge.node.memory_account import HEADER_BYTES, MemoryAccount
 from oakbridge.node.request_body import StreamedBody
 
 if TYPE_CHECKING:
@@ -183,15 +183,17 @@
         return body is not None and body.full
 
     def release(self) -> None:
-        """Release the incomplete request, and the reference cycle with httptools' parser."""
+        """Release the incomplete request, and the reference cycles, as the connection is closed."""
         self._reset_message()
         self._parser = None
+        del self._connection
 
     def held_bytes(self) -> int:
         """Return the memory of the incomplete request, without a streamed body."""
         if self.phase is _IDLE:
             return 0
-        return head_memory(self._target, self._headers) + buffer_memory(self._body)
+        head = len(self._target) + self._head_size + HEADER_BYTES * len(self._headers)
+        return head + buffer_memory(self._body)
 
     # ---- httptools' callbacks
 
@@ -316,6 +318,7 @@
         self._is_rejected = True
         self._body = b""
         self._headers = []
+        self._head_size = 0
         if self.expects_continue:
             self.fail(503)  # the client sends no body before it gets a response
 
--- a/oakbridge/node/response_parser.py
+++ b/oakbridge/node/response_parser.py
@@ -27,6 +27,11 @@
     """The bytes are not a usable response, and their connection can't be used any more."""
 
 
+def _no_sink() -> ResponseSink | None:
+    """Return that no response is wanted, as its connection is closed."""
+    return None
+
+
 class ResponseParser:
     """Parses the response to one request at a time; httptools calls the ``on_`` methods.
 
@@ -132,9 +137,11 @@
         return end
 
     def release(self) -> None:
-        """Release the incomplete response, as its connection is closed."""
+        """Release the incomplete response, and the reference cycles, as the connection is closed."""
         self.headers = []
         self._body = []
+        self._parser = None
+        self._open_sink = _no_sink
 
     def detach_sink(self) -> ResponseSink | None:
         """Return the sink, if there is one, and write nothing more to it."""
--- a/oakbridge/node/run.py
+++ b/oakbridge/node/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import signal
 from collections.abc import Awaitable, Callable
@@ -43,6 +44,7 @@
             addresses = ", ".join(f"{host}:{port}" for host, port in node.server.addresses)
             log.info("node listening: name=%s addresses=%s", name, addresses or "none (supervisor)")
             reloading = loop.create_task(_reload_on_hangup(node, hangup, reload))
+            _exempt_from_collection()
             await stop.wait()
             log.info("node shutting down: name=%s", name)
             await node.shut_down()
@@ -52,6 +54,16 @@
         raise
 
 
+def _exempt_from_collection() -> None:
+    """Exempt all objects that exist now from the collection of reference cycles.
+
+    Otherwise closed connections, whose transports are such cycles, are collected only once they are
+    a quarter as many as the objects of all modules.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 async def _reload_on_hangup(node: Node, hangup: asyncio.Event, reload: Reload) -> None:
     """Reload on SIGHUP; signals that arrive before a reload are combined into one."""
     while await hangup.wait():
