Reject incomplete requests first when memory is short, and hold resident memory itself

Cause: nothing gave up a request that its client had stopped to send before its 2.5 s; and the limit was measured against the process only when the checks began and after a trim. Change: an incomplete request has not been taken, so while memory is short those are rejected with 503 that are sent more slowly than clients are owed (a head 2 s, a body 64 kB a second, no rest of over 1 s), ordered by what they hold and how long they have rested; where that is not enough (nine tenths of the limit) all others in the same order. Requests that a server gets already, and those that the node itself does not read, are left alone (node/incomplete_requests.py decides, pure). Each 50 ms resident memory is read as well: above a ceiling (3%, or 1 MB, below the limit) free memory is returned, the account's limit becomes what would bring the process back, and incomplete requests are rejected. Not mended: connections that wait to be accepted while the node has a fifth of a core.

--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -16,6 +16,7 @@
     next_state,
 )
 from oakbridge.node.http_framing import Headers
+from oakbridge.node.incomplete_requests import IncompleteRequest
 from oakbridge.node.invariants import Invariant
 from oakbridge.node.memory_account import CONNECTION_BYTES, SMALL_READ_BYTES, MemoryShare
 from oakbridge.node.read_deadlines import MIN_BODY_BYTES_PER_CHECK, ClientProgress
@@ -132,7 +133,11 @@
 
         A malformed request closes the connection, after the responses to earlier requests.
         """
-        self.progress.bytes_received += nbytes
+        progress = self.progress
+        progress.bytes_received += nbytes
+        progress.last_read_at = self._server.clock.now()
+        if not self.parser.in_progress():
+            progress.request_began_at = progress.last_read_at
         self._update_read_delay(nbytes)
         if self.parser.error_status or self.is_closing():
             return  # discarded: see _close_write_side
@@ -250,6 +255,30 @@
         if held != self._memory.held_bytes:
             self._memory.set(held)
 
+    def incomplete_request(self, now: int) -> IncompleteRequest | None:
+        """Return the request that is being received; None if there is none to be rejected.
+
+        One that a server gets already, or that the node itself does not read, is left alone.
+        """
+        parser, progress = self.parser, self.progress
+        if self.is_closing() or parser.error_status or not parser.in_progress():
+            return None
+        if parser.streamed_request is not None or self.read_delay.is_behind():
+            return None
+        return IncompleteRequest(
+            parser.held_bytes(),
+            parser.request_bytes,
+            now - progress.request_began_at,
+            now - progress.last_read_at,
+            parser.phase is RequestPhase.HEAD,
+        )
+
+    def reject_incomplete_request(self) -> None:
+        """Reject the request that is being received, after the responses that are due."""
+        self.parser.reject_incomplete()
+        self._dispatch_pending()
+        self.update_memory()
+
     # ---- dispatch
 
     def _change_state(self, event: ConnectionEvent) -> None:
--- a/oakbridge/node/http_server.py
+++ b/oakbridge/node/http_server.py
@@ -15,6 +15,7 @@
 from oakbridge.node.client_request import ClientRequest, parse_timeout
 from oakbridge.node.clock import Clock, Timer
 from oakbridge.node.connection_limits import ConnectionLimits
+from oakbridge.node.incomplete_requests import IncompleteRequest, rejection_order
 from oakbridge.node.invariants import Invariant, InvariantCounters
 from oakbridge.node.lifecycle import Lifecycle, Phase
 from oakbridge.node.listener import Listener
@@ -54,6 +55,9 @@
     def reject_for_memory(self, request: ClientRequest) -> None:
         """Reject a request that arrived when the node's memory limit was reached."""
 
+    def on_incomplete_rejected(self) -> None:
+        """Count a request that was rejected while it was being received, to free its memory."""
+
     def on_client_disconnected(self, request: ClientRequest) -> None:
         """Cancel a request whose client has disconnected or did not send the complete body."""
 
@@ -89,7 +93,7 @@
         self.limits = ConnectionLimits(clock, max_connections)
         self.memory = memory
         self.memory_monitor = MemoryMonitor(
-            memory, clock, lambda: self.limits.connections, memory_mb
+            memory, clock, lambda: self.limits.connections, memory_mb, self.reject_incomplete
         )
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.listener = Listener(
@@ -188,6 +192,24 @@
 
     # ---- requests
 
+    def reject_incomplete(self, bytes_to_free: int, *, only_slow: bool) -> None:
+        """Reject requests that are being received until so many bytes are free.
+
+        ``only_slow``: only those of clients that are slower than they may be.
+        """
+        now = self.clock.now()
+        connections: dict[IncompleteRequest, ClientConnection] = {}
+        for connection in self.limits.connections:
+            request = connection.incomplete_request(now)
+            if request is not None:
+                connections[request] = connection
+        for request in rejection_order(connections, only_slow=only_slow):
+            if bytes_to_free <= 0:
+                return
+            bytes_to_free -= request.held_bytes
+            connections[request].reject_incomplete_request()
+            self.handler.on_incomplete_rejected()
+
     def dispatch(self, request: ClientRequest) -> None:
         """Respond to readiness checks and rejected requests; pass all others to the handler."""
         client = request.client
--- a/oakbridge/node/memory_account.py
+++ b/oakbridge/node/memory_account.py
@@ -61,6 +61,10 @@
         self._short_bytes = int(limit_bytes * SHORT_FRACTION)
         self._requests_bytes = int(limit_bytes * REQUESTS_FRACTION)
 
+    def excess_bytes(self) -> int:
+        """Return how many bytes must be freed so that memory is not short; 0 if it is not."""
+        return max(0, self.held_bytes - self._short_bytes)
+
     def is_short(self) -> bool:
         """Return whether bodies are streamed instead of buffered, and read in small parts."""
         return self.held_bytes >= self._short_bytes
--- a/oakbridge/node/memory_monitor.py
+++ b/oakbridge/node/memory_monitor.py
@@ -29,6 +29,10 @@
 MIN_PEAK_FACTOR = 2  # of the watched amount; memory is returned after a higher peak
 SETTLE_US = 2_000_000  # the checks end when less has been held for this long
 LOG_INTERVAL_US = 1_000_000
+# Resident memory that is kept free: what may be added until the next check.
+MIN_RESERVE_BYTES = BYTES_PER_MB
+RESERVE_FRACTION = 0.03
+MIN_CEILING_LIMIT_BYTES = BYTES_PER_MB // 2
 
 
 def return_free_memory() -> None:
@@ -53,6 +57,17 @@
         """State the bytes that are held now."""
 
 
+class RejectIncomplete(Protocol):
+    """Rejects requests that are being received."""
+
+    def __call__(self, bytes_to_free: int, *, only_slow: bool) -> None:
+        """Free so many bytes; ``only_slow``: only where clients are slower than they may be."""
+
+
+def _reject_nothing(bytes_to_free: int, *, only_slow: bool) -> None:
+    """Reject nothing, as nothing is being received."""
+
+
 class MemoryMonitor:
     """Checks an account periodically, while at least :data:`WATCHED_BYTES` are held.
 
@@ -71,6 +86,7 @@
         clock: Clock,
         holders: Callable[[], Iterable[MemoryHolder]],
         memory_mb: int,
+        reject_incomplete: RejectIncomplete = _reject_nothing,
     ) -> None:
         """``holders``: returns the holders whose shares are updated when memory is short.
 
@@ -82,6 +98,8 @@
         self._other_bytes = 0  # of another process of the same node
         self._clock = clock
         self._holders = holders
+        self._reject_incomplete = reject_incomplete
+        self._is_over_ceiling = False  # the resident memory is above ``_ceiling_bytes``
         self._is_running = False
         self._low_since = 0  # when the held memory was last above the watched amount
         self._peak_bytes = 0  # since memory was returned
@@ -131,6 +149,10 @@
             self._log_shortage()
             for holder in list(self._holders()):
                 holder.update_memory()
+            self._reject_incomplete(
+                account.excess_bytes(), only_slow=not account.rejects_requests()
+            )
+        self._check_resident()
         now = self._clock.now()
         if account.held_bytes > account.watched_bytes:
             self._low_since = now
@@ -146,6 +168,31 @@
             self._return_memory(now)
         self._schedule()
 
+    def _ceiling_bytes(self) -> int:
+        """Return how much resident memory this process may have before it must free some."""
+        available = self._memory_mb * BYTES_PER_MB - self._other_bytes
+        return available - max(MIN_RESERVE_BYTES, int(available * RESERVE_FRACTION))
+
+    def _check_resident(self) -> None:
+        """Hold the resident memory itself below its ceiling, whatever the account has.
+
+        Above it, the limit is what would bring the process back below the ceiling.
+        """
+        if not self._memory_mb:
+            return
+        excess = resident_bytes() - self._ceiling_bytes()
+        if excess > 0 and self._clock.now() >= self._returned_at + MIN_TRIM_INTERVAL_US:
+            self._return_memory(self._clock.now())
+            excess = resident_bytes() - self._ceiling_bytes()
+        if excess > 0:
+            self._is_over_ceiling = True
+            account = self._account
+            account.set_limit(max(MIN_CEILING_LIMIT_BYTES, account.held_bytes - excess))
+            self._reject_incomplete(excess, only_slow=False)
+        elif self._is_over_ceiling:
+            self._is_over_ceiling = False
+            self._update_limit()
+
     def _return_memory(self, now: int) -> None:
         return_free_memory()
         self._measure_process()
--- a/oakbridge/node/read_deadlines.py
+++ b/oakbridge/node/read_deadlines.py
@@ -96,10 +96,14 @@
         "_received_at_check",
         "_unacknowledged_at_check",
         "bytes_received",
+        "last_read_at",
+        "request_began_at",
     )
 
     def __init__(self) -> None:
         self.bytes_received = 0
+        self.request_began_at = 0  # when the first byte of the incomplete request was read
+        self.last_read_at = 0
         self._received_at_check = 0
         self._unacknowledged_at_check: int | None = None  # None: not checked yet
         self._linger_checks = 0
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -140,6 +140,10 @@
     def reject_for_memory(self, request: ClientRequest) -> None:
         """Reject a request that arrived when the node's memory limit was reached, with a 503."""
         request.client.respond(request, 503, [], b"")
+        self.on_incomplete_rejected()
+
+    def on_incomplete_rejected(self) -> None:
+        """Count a request that was rejected for its memory."""
         self.rejected += 1
         self.unserved.add(UnservedReason.MEMORY_LIMIT, self._clock.now())
 
--- a/oakbridge/node/request_parser.py
+++ b/oakbridge/node/request_parser.py
@@ -313,6 +313,11 @@
             return 0
         return MIN_STREAMED_BODY_BYTES if self._memory.is_short() else MAX_BUFFERED_BODY_BYTES
 
+    def reject_incomplete(self) -> None:
+        """Reject the request that is being received, and release what it holds."""
+        self._reject()
+        self.fail(503)
+
     def _reject(self) -> None:
         """Reject the request, as the memory limit is reached; its body is received and discarded."""
         self._is_rejected = True
--- a/tests/memory_load.py
+++ b/tests/memory_load.py
@@ -68,7 +68,10 @@
             elif b"content-length: " in request_head:
                 left = int(request_head.split(b"content-length: ")[1].split(b"\r\n")[0])
                 while left:
-                    left -= len(await reader.read(min(left, 65536)))
+                    data = await reader.read(min(left, 65536))
+                    if not data:
+                        raise asyncio.IncompleteReadError(b"", left)
+                    left -= len(data)
             await asyncio.sleep(draw.uniform(*WORK_S))
             size = sizes.get(request_head.split(b" ")[1], 2)
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"y" * size)
