Keep an incomplete head as its bytes until its end has come

Cause: the fields of an unfinished head were objects, some 130 bytes for a field of 4. They lie in blocks of 1 MB that go back only when they are empty, and that bodies can't use: after a crowd of heads and then one of bodies the process held both. Change: a head that does not end in the read that begins it is kept as bytes, up to the limit of a head, and parsed at its end. A malformed head is answered when it ends, is too long or is late, no longer at its first bad line.

--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -270,7 +270,7 @@
             parser.request_bytes,
             now - progress.request_began_at,
             now - progress.last_read_at,
-            parser.phase is RequestPhase.HEAD,
+            parser.phase is not RequestPhase.BODY,
         )
 
     def reject_incomplete_request(self) -> None:
--- a/oakbridge/node/request_parser.py
+++ b/oakbridge/node/request_parser.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import httptools
 
@@ -38,6 +38,9 @@
 })  # fmt: skip
 
 
+_HEAD_ENDS = (b"\n\r\n", b"\n\n")
+
+
 class HeadTooLongError(Exception):
     """Raised within httptools' callbacks, so that the rest of a head is not parsed."""
 
@@ -76,6 +79,7 @@
         "_memory",
         "_offers_upgrade",
         "_parser",
+        "_partial_head",
         "_single_values",
         "_target",
         "error_status",
@@ -96,6 +100,9 @@
         self.streamed_request: ClientRequest | None = None
         self.request_bytes = 0  # bytes received since the last read that completed a request
         self._completed_count = 0  # requests
+        # Bytes of a head that is not parsed yet, as it is incomplete: its fields as objects would
+        # take several times the memory, in blocks that other objects may keep from being returned.
+        self._partial_head = bytearray()
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -111,26 +118,51 @@
         self._offers_upgrade = False  # the head offers another protocol, and is parsed again
 
     def feed(self, data: memoryview) -> bool:
-        """Parse received bytes; return whether they completed a request."""
+        """Parse received bytes; return whether they completed a request.
+
+        ``data`` begins where its buffer begins.
+        """
         completed = self._completed_count
         self.request_bytes += len(data)
-        try:
-            self._parse(data)
-        except httptools.HttpParserError:
-            self.fail(400)
+        if not self._awaits_rest_of_head(data):
+            self._parse_guarded(memoryview(self._partial_head) if self._partial_head else data)
+            self._partial_head = bytearray()
         streamed = self.streamed_request
         if streamed is not None and streamed.streamed_body is not None:
             streamed.streamed_body.notify_reader()
         if self._completed_count > completed:
             self.request_bytes = 0
             return True
-        if self.phase is _HEAD and self._memory.is_exhausted():
+        if self.phase is not _BODY and self._memory.is_exhausted():
             self._reject()
             self.fail(503)
         if self.request_bytes > MAX_HEAD_BYTES and self._is_mostly_framing():
             self.fail(431)
         return False
 
+    def _awaits_rest_of_head(self, data: memoryview) -> bool:
+        """Return whether received bytes are kept, as they begin a head without its end."""
+        if self.phase is not _IDLE:
+            return False
+        kept = len(self._partial_head)
+        if kept:
+            self._partial_head += data
+        received = self._partial_head or cast(bytearray, data.obj)
+        end = kept + len(data)
+        start = max(0, kept - len(_HEAD_ENDS[0]))
+        if end > MAX_HEAD_BYTES or any(received.find(s, start, end) >= 0 for s in _HEAD_ENDS):
+            return False
+        if not kept:
+            self._partial_head += data
+        return True
+
+    def _parse_guarded(self, data: memoryview) -> None:
+        """Parse bytes; malformed ones set the status to respond with."""
+        try:
+            self._parse(data)
+        except httptools.HttpParserError:
+            self.fail(400)
+
     def _parse(self, data: memoryview) -> None:
         """Pass bytes to httptools, which ends a request that offers another protocol at its head.
 
@@ -185,13 +217,14 @@
     def release(self) -> None:
         """Release the incomplete request, and the reference cycles, as the connection is closed."""
         self._reset_message()
+        self._partial_head = bytearray()
         self._parser = None
         del self._connection
 
     def held_bytes(self) -> int:
         """Return the memory of the incomplete request, without a streamed body."""
         if self.phase is _IDLE:
-            return 0
+            return buffer_memory(self._partial_head)
         head = len(self._target) + self._head_size + HEADER_BYTES * len(self._headers)
         return head + buffer_memory(self._body)
 
@@ -322,6 +355,7 @@
         """Reject the request, as the memory limit is reached; its body is received and discarded."""
         self._is_rejected = True
         self._body = b""
+        self._partial_head = bytearray()
         self._headers = []
         self._head_size = 0
         if self.expects_continue:
--- a/tests/node/test_request_parser.py
+++ b/tests/node/test_request_parser.py
@@ -33,3 +33,14 @@
     assert not parser.feed(memoryview(raw))
     assert parser.error_status == 431
     assert len(parsed) == MAX_HEADERS + 1
+
+
+# Guards against unfinished heads of many short fields that take several times their bytes.
+def test_incomplete_head_is_held_as_its_bytes():
+    parser = RequestParser(connection=None, memory=MemoryAccount())
+    raw = head("GET")[:-2] + b"".join(b"h%d: v\r\n" % i for i in range(MAX_HEADERS - 10))
+    for start in range(0, len(raw), 1000):
+        assert not parser.feed(memoryview(raw[start : start + 1000]))
+    assert parser.in_progress()
+    assert not parser._headers
+    assert len(raw) <= parser.held_bytes() <= 1.25 * len(raw)
