Do not run a request again whose id has run or may yet, after its client has left

Cause: an id was known while its request or attempt was open, no longer. With the attempt cancelled the server may still run it. A request under such an id gets 409, as one with an open id does. One that never ran is served again, and safe requests as before. Not mended: the two processes of an upgrade don't tell each other these ids.

--- a/oakbridge/node/client_request.py
+++ b/oakbridge/node/client_request.py
@@ -37,6 +37,7 @@
         "headers",
         "http10",
         "id",
+        "is_idempotent",
         "keep_alive",
         "memory_bytes",
         "method",
@@ -76,6 +77,7 @@
         self.id = 0  # the balancer's number of the request; 0: not passed to the balancer
         # When the client may have sent the last byte; until then, when its body began to be streamed.
         self.received_at = 0
+        self.is_idempotent = False  # by its class; it may run twice
         self.timeout_us: int | None = None  # from X-Timeout; None: no such header
         self.respond_by: int | None = None  # deadline set by the node's shutdown; None: none
         self.overdue_timer: Timer | None = None
--- a/oakbridge/node/http_server.py
+++ b/oakbridge/node/http_server.py
@@ -43,8 +43,8 @@
     def has_priority_class(self, name: str) -> bool:
         """Return whether the settings have a priority class of this name."""
 
-    def has_open_request(self, request_id: bytes) -> bool:
-        """Return whether a request with this X-Request-ID is open."""
+    def is_repeated(self, request_id: bytes) -> bool:
+        """Return whether a request with this X-Request-ID is open, or must not run again."""
 
     def handle_request(self, request: ClientRequest) -> None:
         """Handle a request; it must get exactly one response."""
@@ -242,9 +242,8 @@
             return 400, b"X-Request-ID or X-Timeout is missing or malformed\n"
         if not self.handler.has_priority_class(request.header_text(b"x-priority-class")):
             return 400, b"unknown X-Priority-Class\n"
-        if self.handler.has_open_request(request_id):
-            # Otherwise a duplicate would be in flight at the same time as the first request.
-            return 409, b"a request with this X-Request-ID is open\n"
+        if self.handler.is_repeated(request_id):
+            return 409, b"a request with this X-Request-ID is open, or may have run\n"
         if request.client.over_limit:
             return 503, b""
         return None
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -14,6 +14,7 @@
 from oakbridge.node.http_framing import Headers
 from oakbridge.node.invariants import Invariant, InvariantCounters
 from oakbridge.node.load_report import parse_load_report
+from oakbridge.node.recent_ids import RecentIds
 from oakbridge.node.server_connection import ServerConnection
 from oakbridge.node.unserved_requests import UnservedRequests
 from oakbridge.policy.actions import (
@@ -24,6 +25,7 @@
     UnservedReason,
 )
 from oakbridge.policy.events import (
+    NEVER_RAN,
     AttemptEnded,
     AttemptResult,
     ClientDisconnected,
@@ -32,7 +34,7 @@
     RequestReceived,
     TimeLeftChanged,
 )
-from oakbridge.policy.settings import ReportSource, Settings
+from oakbridge.policy.settings import Idempotency, ReportSource, Settings
 
 # The 4xx statuses that don't mean that the request is invalid, nor that it has not run.
 RETRYABLE_CLIENT_ERRORS = (408, 425, 429)
@@ -66,6 +68,7 @@
         """``post``: hands an event to the balancer; ``ids``: request ids, shared by all fronts."""
         self.requests: dict[int, ClientRequest] = {}
         self.open_ids: set[bytes] = set()  # X-Request-IDs of ``requests``
+        self._recent_ids = RecentIds()  # of requests that are not idempotent
         self.served = 0  # responses since the start
         self.rejected = 0
         self.failed = 0
@@ -94,16 +97,20 @@
         """Return whether there is a priority class of this name."""
         return name in self._classes
 
-    def has_open_request(self, request_id: bytes) -> bool:
-        """Return whether a request with this id has no response yet, or an open attempt."""
-        return request_id in self.open_ids
+    def is_repeated(self, request_id: bytes) -> bool:
+        """Return whether a request with this id is open, or may have run and must not run twice."""
+        if request_id in self.open_ids:
+            return True
+        return self._recent_ids.has(request_id, self._clock.now())
 
     def handle_request(self, request: ClientRequest) -> None:
         """Hand a request to the balancer, which decides about it until its response."""
         class_name = request.header_text(b"x-priority-class")
         now = self._clock.now()
+        priority_class = self._classes[class_name]
+        request.is_idempotent = priority_class.idempotency is Idempotency.IDEMPOTENT
         if request.timeout_us is None:
-            request.timeout_us = self._classes[class_name].deadline
+            request.timeout_us = priority_class.deadline
         if self._endpoints.all_offline():  # it is useless to wait for a server
             retry_after = [(b"retry-after", b"1")] if self._settings.max_retry_after else []
             request.client.respond(request, 503, retry_after, b"")
@@ -314,6 +321,8 @@
         """Forward a server's response to the client; after that, report the end to the balancer."""
         request = forwarded.request
         request.attempt = None
+        if end.result not in NEVER_RAN and not request.is_idempotent:
+            self._recent_ids.add(request.header_values[b"x-request-id"], self._clock.now())
         if request.response_streamed:
             self._end_streamed(forwarded, end)
             return
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -222,6 +222,31 @@
     run(scenario())
 
 
+# Guards against a request that runs twice, as its id comes again after its client has left.
+@pytest.mark.parametrize("leaves", ["before the response", "after the response"])
+@pytest.mark.parametrize("key", [{}, {"Idempotency_Key": "k-1"}])
+def test_unsafe_request_that_may_have_run_does_not_run_again_under_its_id(leaves, key):
+    async def scenario():
+        respond = leaves == "after the response"
+        async with (
+            ScriptedServer(lambda _: reply(200) if respond else None) as server,
+            RunningNode(server) as node,
+        ):
+            first = await node.client()
+            first.send("book", "POST", X_Request_ID="same", **key)
+            await with_timeout(server.requests.get())
+            if respond:
+                assert (await first.read_response())[0] == 200
+            first.close()
+            await until(lambda: not node.node.forwarder.open_ids)
+            again = await node.client()
+            again.send("book", "POST", X_Request_ID="same", **key)
+            assert (await again.read_response())[0] == 409
+            assert server.requests.empty()
+
+    run(scenario())
+
+
 def test_404_is_not_retried_and_not_counted_as_a_failure_of_the_server():
     """Guards against bad requests that use up the retry budget and eject healthy servers."""
 
