See the close of a client behind more requests than a connection may pipeline

Cause: in a pause of reading (16 pending) the end of the stream waits behind what the kernel holds; beyond the receive window it does not even reach the machine, so that the look before each attempt finds an open connection. Change: each 30 ms of a pause the node looks at what waits unread. If by the mean size of the connection's requests that is more than the 64 that may be pipelined, no more are received: the rest is read and discarded, so that its end is seen, and 503 follows the pending responses, as it does where one read brings more than 64. Bodies of any size that are pipelined within the limit are served as before. Not mended: within the limit of 64, a close behind more bytes than the receive window. Test: test_close_behind_many_unread_requests_is_seen, its half-closed case failed before.

--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -35,15 +35,19 @@
     last_received_ago_us,
     peer_has_closed,
     reset_on_close,
+    unread_bytes,
 )
 
 if TYPE_CHECKING:
     from oakbridge.node.http_server import HttpServer
 
 PAUSE_READING_AT = 16  # pending requests of one connection at which reading pauses
-# Limit on the pending requests of one connection, as one read may bring more than PAUSE_READING_AT.
-# A connection that exceeds it gets 503.
+# Limit on the pipelined requests of one connection: those pending, as one read may bring more than
+# PAUSE_READING_AT, and those that wait unread in a pause.  A connection that exceeds it gets 503.
 MAX_PIPELINED = 64
+# Interval of checks in a pause.  The end of the client's stream arrives behind what is unread, and a
+# client that has closed must not have requests sent for over 0.1 s.
+PAUSE_CHECK_INTERVAL_US = 30_000
 TOO_MANY_REQUESTS = 429
 # Unsent bytes of a streamed response at which reading from its server pauses.
 WRITE_BUFFER_BYTES = 64 * 1024
@@ -157,6 +161,7 @@
         if len(self.pending) >= pause_at and not self.reading_paused:
             self.reading_paused = True
             self.update_reading()
+            self._check_pause()
         if not (self.read_delay.is_behind() or self.parser.in_progress()):
             self.read_delay.reset()
         self.update_memory()
@@ -255,6 +260,22 @@
         if held != self._memory.held_bytes:
             self._memory.set(held)
 
+    def _check_pause(self) -> None:
+        """In a pause, stop to receive requests if too many of them wait unread.
+
+        What follows is read and discarded, so that the end of the client's stream is seen.
+        """
+        if not self.reading_paused or self.transport is None or self.is_closing():
+            return
+        mean_bytes = self.progress.bytes_received // max(1, self.parser.completed_count)
+        if unread_bytes(self._sock) > MAX_PIPELINED * max(1, mean_bytes):
+            self.reading_paused = False
+            self.parser.fail(503)
+            self.update_reading()
+            return
+        clock = self._server.clock
+        clock.call_at(clock.now() + PAUSE_CHECK_INTERVAL_US, self._check_pause)
+
     def incomplete_request(self, now: int) -> IncompleteRequest | None:
         """Return the request that is being received; None if there is none to be rejected.
 
--- a/oakbridge/node/request_parser.py
+++ b/oakbridge/node/request_parser.py
@@ -69,7 +69,6 @@
     __slots__ = (
         "_body",
         "_body_size",
-        "_completed_count",
         "_connection",
         "_content_length",
         "_has_duplicate",
@@ -82,6 +81,7 @@
         "_partial_head",
         "_single_values",
         "_target",
+        "completed_count",
         "error_status",
         "expects_continue",
         "phase",
@@ -99,7 +99,7 @@
         # The request whose body is forwarded while it is received.
         self.streamed_request: ClientRequest | None = None
         self.request_bytes = 0  # bytes received since the last read that completed a request
-        self._completed_count = 0  # requests
+        self.completed_count = 0  # requests
         # Bytes of a head that is not parsed yet, as it is incomplete: its fields as objects would
         # take several times the memory, in blocks that other objects may keep from being returned.
         self._partial_head = bytearray()
@@ -122,7 +122,7 @@
 
         ``data`` begins where its buffer begins.
         """
-        completed = self._completed_count
+        completed = self.completed_count
         self.request_bytes += len(data)
         if not self._awaits_rest_of_head(data):
             self._parse_guarded(memoryview(self._partial_head) if self._partial_head else data)
@@ -130,7 +130,7 @@
         streamed = self.streamed_request
         if streamed is not None and streamed.streamed_body is not None:
             streamed.streamed_body.notify_reader()
-        if self._completed_count > completed:
+        if self.completed_count > completed:
             self.request_bytes = 0
             return True
         if self.phase is not _BODY and self._memory.is_exhausted():
@@ -292,7 +292,7 @@
         """Pass a complete request to the connection."""
         if self._offers_upgrade:
             return  # only its head was parsed
-        self._completed_count += 1
+        self.completed_count += 1
         request = self.streamed_request
         if request is not None and request.streamed_body is not None:
             self.streamed_request = None
--- a/oakbridge/node/socket_state.py
+++ b/oakbridge/node/socket_state.py
@@ -29,6 +29,14 @@
         return is_resource_error(error) and error.errno != errno.EAGAIN
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """Return how many bytes have arrived that the event loop has not read yet; 0 if unknown."""
+    try:
+        return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0" * 4))[0])
+    except (OSError, ValueError):  # the socket is closed
+        return 0
+
+
 def peer_has_closed(sock: socket.socket) -> bool | None:
     """Return whether the peer has closed its side, also behind unread bytes; None if unknown."""
     try:
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -405,6 +405,27 @@
     run(scenario())
 
 
+# Guards against requests that are sent on after their client has closed, behind unread bytes.
+@pytest.mark.parametrize("half", [True, False])
+def test_close_behind_many_unread_requests_is_seen(half):
+    async def scenario():
+        async with ScriptedServer(lambda _: None) as server, RunningNode(server) as node:
+            sock = raw_client(node)
+            requests = [REQUEST % b"r-%d" % i + b"\r\n" for i in range(4_000)]
+            await asyncio.to_thread(sock.sendall, b"".join(requests))
+            await with_timeout(server.requests.get())
+            if half:
+                sock.shutdown(socket.SHUT_WR)
+            else:
+                sock.close()
+            await until(lambda: not node.node.server.limits.connections)
+            await until(lambda: not node.node.forwarder.requests)
+            assert server.requests.empty()
+            sock.close()
+
+    run(scenario())
+
+
 async def node_is_empty(node) -> bool:
     """Wait until no request is open; return whether the node and the balancer keep no state of any."""
     await until(lambda: not node.node.forwarder.requests)
