Move a client's unread time into ReadDelay, and the figures of times into RequestTimes

The stand-in of a connection in test_protocol_offers.py has the new name; what it checks is the same. Measured: tests/node, tests/policy, tests/faults/test_slow_peers.py pass.

--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -32,7 +32,6 @@
 )
 from oakbridge.node.socket_state import (
     has_unread_bytes,
-    last_received_ago_us,
     peer_has_closed,
     reset_on_close,
     unread_bytes,
@@ -93,7 +92,7 @@
         self._memory.set(CONNECTION_BYTES)
         self.parser = RequestParser(self, server.memory)
         self.progress = ClientProgress()
-        self.read_delay = ReadDelay()
+        self.read_delay = ReadDelay(server.clock, sock)
         self.in_flight: ClientRequest | None = None
         self.pending: deque[ClientRequest] = deque()  # received, not dispatched yet
         self.reading_paused = False  # PAUSE_READING_AT requests are pending
@@ -142,7 +141,7 @@
         progress.last_read_at = self._server.clock.now()
         if not self.parser.in_progress():
             progress.request_began_at = progress.last_read_at
-        self._update_read_delay(nbytes)
+        self.read_delay.on_read(filled_buffer=nbytes >= self._max_read_bytes())
         if self.parser.error_status or self.is_closing():
             return  # discarded: see _close_write_side
         limits = self._server.limits
@@ -187,23 +186,6 @@
 
     # ---- the parser's callbacks
 
-    def last_received_at(self) -> int:
-        """Return when the client may have sent the last bytes, in microseconds of the node's clock.
-
-        That is when they reached this machine, not when the event loop read them, and earlier if
-        they may have waited on the client's machine because the node was behind.
-        """
-        now = self._server.clock.now()
-        waited_us = max(last_received_ago_us(self._sock), self.read_delay.total_us(now))
-        return now - waited_us
-
-    def _update_read_delay(self, nbytes: int) -> None:
-        """Note whether a read has left bytes that had arrived; ``nbytes``: what was read."""
-        if nbytes >= self._max_read_bytes() and self.has_unread_bytes():
-            self.read_delay.start(self._server.clock.now())
-        elif self.read_delay.is_behind():
-            self.read_delay.stop(self._server.clock.now())
-
     def on_head(self) -> None:
         """Stop the timeout of the head, as the body has its own; send 100 Continue if expected."""
         if not self.write_blocked:  # a client that does not read keeps its deadline
@@ -241,11 +223,10 @@
             return
         if self.reading_paused or self.parser.body_is_held_back():
             self.transport.pause_reading()
-            self.read_delay.start(self._server.clock.now())
+            self.read_delay.on_paused()
         elif not self.transport.is_reading():
             self.transport.resume_reading()
-            if not self.has_unread_bytes():
-                self.read_delay.stop(self._server.clock.now())
+            self.read_delay.on_resumed()
 
     def update_memory(self) -> None:
         """State the memory that this connection, its requests and its unsent responses hold."""
--- a/oakbridge/node/read_delay.py
+++ b/oakbridge/node/read_delay.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import socket
+
+from oakbridge.node.clock import Clock
+from oakbridge.node.socket_state import has_unread_bytes, last_received_ago_us
+
 
 class ReadDelay:
     """The time in which a node is behind its client, in microseconds of the node's clock.
@@ -10,9 +15,12 @@
     then wait in the buffers of the client's machine, where the node can't see when they were sent.
     """
 
-    __slots__ = ("_behind_since", "_earlier_us")
+    __slots__ = ("_behind_since", "_clock", "_earlier_us", "_sock")
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock, sock: socket.socket) -> None:
+        """``sock``: the connection to the client."""
+        self._clock = clock
+        self._sock = sock
         self._behind_since: int | None = None  # None: the node waits for the client
         self._earlier_us = 0
 
@@ -20,15 +28,29 @@
         """Return whether the node is behind now."""
         return self._behind_since is not None
 
-    def start(self, now: int) -> None:
-        """Count time from now on, unless it is counted already."""
+    def on_paused(self) -> None:
+        """Count time from now on, as the node does not read."""
         if self._behind_since is None:
-            self._behind_since = now
+            self._behind_since = self._clock.now()
+
+    def on_resumed(self) -> None:
+        """Stop to count if nothing has arrived in the pause."""
+        if not has_unread_bytes(self._sock):
+            self._stop()
+
+    def on_read(self, *, filled_buffer: bool) -> None:
+        """Count time from now on if a read has left bytes that had arrived, else stop to count.
 
-    def stop(self, now: int) -> None:
-        """Stop to count, as the node has read all that has arrived."""
+        ``filled_buffer``: the read took as many bytes as it could.
+        """
+        if filled_buffer and has_unread_bytes(self._sock):
+            self.on_paused()
+        else:
+            self._stop()
+
+    def _stop(self) -> None:
         if self._behind_since is not None:
-            self._earlier_us += now - self._behind_since
+            self._earlier_us += self._clock.now() - self._behind_since
             self._behind_since = None
 
     def total_us(self, now: int) -> int:
@@ -36,6 +58,15 @@
         current = 0 if self._behind_since is None else now - self._behind_since
         return self._earlier_us + current
 
+    def last_sent_at(self) -> int:
+        """Return when the client may have sent the last bytes that were read.
+
+        That is when they reached this machine, not when the event loop read them, and earlier if
+        they may have waited on the client's machine because the node was behind.
+        """
+        now = self._clock.now()
+        return now - max(last_received_ago_us(self._sock), self.total_us(now))
+
     def reset(self) -> None:
         """Forget the time counted, as no request has begun that may have waited meanwhile."""
         self._behind_since = None
--- a/oakbridge/node/request_parser.py
+++ b/oakbridge/node/request_parser.py
@@ -296,7 +296,7 @@
         request = self.streamed_request
         if request is not None and request.streamed_body is not None:
             self.streamed_request = None
-            request.received_at = self._connection.last_received_at()
+            request.received_at = self._connection.read_delay.last_sent_at()
             request.streamed_body.finish()
             self._connection.on_body_received(request)
         elif not self.error_status:
@@ -324,7 +324,7 @@
         is_connect = self._parser.should_upgrade()
         request.keep_alive = bool(self._parser.should_keep_alive()) and not is_connect
         request.http10 = self._is_http10()
-        request.received_at = self._connection.last_received_at()
+        request.received_at = self._connection.read_delay.last_sent_at()
         return request
 
     def _buffer(self, data: bytes) -> None:
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -20,7 +20,7 @@
 from oakbridge.policy.outlier_detection import OutlierDetection
 from oakbridge.policy.quota import Quotas
 from oakbridge.policy.records import Attempt, OpenRequest, Server
-from oakbridge.policy.request_times import RequestTimes
+from oakbridge.policy.request_times import UPLOAD_TIMEOUT_US, RequestTimes
 from oakbridge.policy.retry_budget import RetryBudget
 from oakbridge.policy.retry_safety import RetrySafety
 from oakbridge.policy.server_selection import ServerSelection
@@ -29,13 +29,8 @@
 from oakbridge.policy.subset import Subset
 from oakbridge.policy.timers import SECOND_US, Timers
 
-INITIAL_MEAN_DIVISOR = 5  # latency objective / mean latency assumed before the first response
-TARGET_MULTIPLE = 2.0  # target latency as a multiple of the lowest mean latency
-TARGET_FRACTION = 0.45  # the same as a fraction of the latency objective; the higher one applies
 NEVER_RAN_RETRY_COST = 0.2  # low, as an attempt that never ran cost the server no work
-BACKOFF_DIVISOR = 100  # latency objective / delay of the first retry, before jitter of 0.5 to 1.5
 REVIEW_INTERVAL_US = SECOND_US // 2
-UPLOAD_TIMEOUT_US = 600 * SECOND_US  # for a streamed body of the longest size at 64 kB a second
 
 
 class Balancer:
@@ -110,10 +105,7 @@
         self.quotas.configure({t.name: interval / t.quota_per_s for t in tenants if t.quota_per_s})
         self.classes = {klass.name: klass for klass in settings.classes}
         used = {r.klass.name: r.klass for r in self.requests.values()} | self.classes
-        initial_means = {
-            name: c.latency_objective / INITIAL_MEAN_DIVISOR * self.time_fraction
-            for name, c in used.items()
-        }
+        initial_means = {name: self.times.initial_mean(klass) for name, klass in used.items()}
         self.latency.configure(initial_means)
 
     def _set_timer(self, delay: int, token: int) -> None:
@@ -216,10 +208,11 @@
         """Restart the times of a request whose streamed body has been sent."""
         if (request := self.requests.get(event.request_id)) and request.in_flight:
             request.attempts[-1].sent_at = now
-            self.times.set(request, event.time_left, now)
-            self.timers.expire_at(now, request.expires_at, request.id)
+            self._on_time_left_changed(now, event)
 
-    def _on_time_left_changed(self, now: int, event: events.TimeLeftChanged) -> None:
+    def _on_time_left_changed(
+        self, now: int, event: events.TimeLeftChanged | events.RequestBodySent
+    ) -> None:
         """Set the deadline of a streamed request, which may wait or be in flight."""
         if request := self.requests.get(event.request_id):
             self.times.set(request, event.time_left, now)
@@ -310,15 +303,13 @@
             if served:
                 average.add(event.latency)
                 self.latency.update_mean()
-            objective = TARGET_FRACTION * request.klass.latency_objective * self.time_fraction
-            target = max(TARGET_MULTIPLE * average.min_mean, objective)
+            target = self.times.target_latency(request, average.min_mean)
             self.admission.record(event.latency, average.min_mean, target, served, now)
 
     def _retry(self, request: OpenRequest, now: int) -> None:
         """Retry after a growing random delay, if safety, the deadline and the budget allow it."""
         cost = NEVER_RAN_RETRY_COST if request.attempts[-1].result in NEVER_RAN else 1.0
-        backoff = request.klass.latency_objective / BACKOFF_DIVISOR * 2 ** (request.failures - 1)
-        delay = backoff * self.random.uniform(0.5, 1.5)
+        delay = self.times.backoff(request) * self.random.uniform(0.5, 1.5)
         if now + delay >= request.expires_at:
             self._reject_or_fail(request, UnservedReason.NO_TIME_FOR_RETRY)
         elif not self.safety.allows_attempt(request, None, now):
--- a/tests/node/test_protocol_offers.py
+++ b/tests/node/test_protocol_offers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from types import SimpleNamespace
 
 import pytest
 from peers import RunningNode, reply, run, with_timeout
@@ -144,6 +145,7 @@
 
     def __init__(self, pieces) -> None:
         self.requests: list[tuple] = []
+        self.read_delay = SimpleNamespace(last_sent_at=lambda: 0)
         parser = RequestParser(self, MemoryAccount())
         for piece in pieces:
             parser.feed(memoryview(piece))
@@ -152,9 +154,6 @@
     def on_head(self) -> None:
         self.requests.append(("head",))
 
-    def last_received_at(self) -> int:
-        return 0
-
     def on_request(self, request) -> None:
         headers = [h for h in request.headers if h[0] not in (b"upgrade", b"connection")]
         framing = (request.keep_alive, request.http10)
