Do not count time against a client that can't have sent its long body yet

Cause: all time in which the node is behind counted, also while more was missing than a client's machine can hold: its last byte, from which the time counts, can't have been sent then. Change: while over 10 MB (Linux's largest default send and receive buffers) of a body with a length are missing, each read starts the count anew. A pause without a read counts as before, so that a stuck server is still noticed within the timeout. Chunked bodies tell no length: all of it counts. Test: its served case failed before (503); the stuck case guards.

--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -155,6 +155,7 @@
         elif self.parser.in_progress():
             limits.idle.remove(self)
             limits.awaiting_client.add(self)
+        self.read_delay.on_progress(self.parser.missing_body_bytes())
         self._dispatch_pending()
         pause_at = self._server.memory.scaled(PAUSE_READING_AT)
         if len(self.pending) >= pause_at and not self.reading_paused:
--- a/oakbridge/node/read_delay.py
+++ b/oakbridge/node/read_delay.py
@@ -7,6 +7,10 @@
 from oakbridge.node.clock import Clock
 from oakbridge.node.socket_state import has_unread_bytes, last_received_ago_us
 
+# What may wait between a client's last write and the node: the largest default send and receive
+# buffers of Linux.
+MAX_BUFFERED_BYTES = 10 * 1024 * 1024
+
 
 class ReadDelay:
     """The time in which a node is behind its client, in microseconds of the node's clock.
@@ -48,6 +52,16 @@
         else:
             self._stop()
 
+    def on_progress(self, missing_bytes: int) -> None:
+        """Forget the time counted if the client can't have sent the rest of a body yet.
+
+        ``missing_bytes``: of the body, that were not read; 0 if unknown.
+        """
+        if missing_bytes > MAX_BUFFERED_BYTES:
+            self._earlier_us = 0
+            if self._behind_since is not None:
+                self._behind_since = self._clock.now()
+
     def _stop(self) -> None:
         if self._behind_since is not None:
             self._earlier_us += self._clock.now() - self._behind_since
--- a/oakbridge/node/request_parser.py
+++ b/oakbridge/node/request_parser.py
@@ -208,6 +208,12 @@
         """Return whether a request has begun and is not complete."""
         return self.phase is not _IDLE or self.request_bytes > 0
 
+    def missing_body_bytes(self) -> int:
+        """Return how much of the body was not received yet; 0 if its length is unknown."""
+        if self.phase is not _BODY or self._content_length is None:
+            return 0
+        return self._content_length - self._body_size
+
     def body_is_held_back(self) -> bool:
         """Return whether reading must pause because a streamed body has filled its window."""
         request = self.streamed_request
--- a/tests/node/test_streaming.py
+++ b/tests/node/test_streaming.py
@@ -370,6 +370,36 @@
     run(scenario())
 
 
+# Guards against a body that is given up while its server takes it, before its client has sent it.
+@pytest.mark.parametrize(("stops", "status"), [(False, 200), (True, 503)])
+def test_time_of_a_very_long_body_runs_once_the_client_may_have_sent_it(stops, status):
+    size, part = 30_000_000, 1_000_000
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        for _ in range(size // part):
+            await reader.readexactly(part)
+            await asyncio.sleep(0.07)
+            if stops:
+                await asyncio.Event().wait()
+        writer.write(reply(200))
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        async with RawServer(handle) as server, RunningNode(server) as node:
+            client = await node.client()
+            length = f"Content-Length: {size}"
+            client.writer.write(head("POST", "/api", length, "X-Timeout: 1700m"))
+            client.writer.write(bytes(size))
+            began = loop.time()
+            response = await client.read_response()
+            assert response[0] == status
+            elapsed_s = loop.time() - began
+            assert elapsed_s <= 1.7 + 0.5 if stops else elapsed_s > 1.7
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("client_action", ["stall", "close", "reset"])
 def test_incomplete_body_is_not_completed_towards_the_server(monkeypatch, client_action):
     monkeypatch.setattr(connection_limits, "CLIENT_TIMEOUT_US", 300_000)
