Start a successor also while its predecessor waits for a complete list

Cause: where lists are pushed, a predecessor that has just been moved to another discovery marks its list as older than all versions (-1), and hands it over with that mark; the successor checks it as a list of the configuration file, in which -1 is invalid. Change: the successor takes such a list as version 0 and requests the complete list, as its predecessor does. A file with -1 is refused as before.

--- a/oakbridge/operators/service.py
+++ b/oakbridge/operators/service.py
@@ -13,6 +13,7 @@
 from collections.abc import AsyncIterator, Mapping
 from contextlib import ExitStack, asynccontextmanager
 from dataclasses import replace
+from typing import Any
 
 from oakbridge.handover.messages import Welcome
 from oakbridge.handover.predecessor import Predecessor
@@ -20,6 +21,7 @@
 from oakbridge.handover.unix_socket import socket_path
 from oakbridge.node.address import Address
 from oakbridge.node.config import Config, load_config, parse_config
+from oakbridge.node.discovery_client import BEFORE_ALL_VERSIONS
 from oakbridge.node.errors import ConfigError
 from oakbridge.node.node import ListenOptions, Node
 from oakbridge.node.offline_servers import OfflineServers
@@ -66,13 +68,16 @@
         inherited_sockets = _inherit_listeners(listeners, config.listen)
         listening = ListenOptions(inherited=inherited_sockets, reuse_port=True)
         clock_offset = None if inherited is None else inherited.clock_offset_us
-        return Node(
+        node = Node(
             config,
             loop,
             listening=listening,
             offline_servers=offline_servers,
             clock_offset=clock_offset,
         )
+        if inherited is not None and _lacks_version(inherited.endpoint_list):
+            node.source.fetch()
+        return node
 
     def _inherit_config(
         self, config: Config | None, config_error: ConfigError | None, inherited: Welcome
@@ -86,7 +91,10 @@
             reason = config_error or "a key of the predecessor's configuration is missing"
             log.error("configuration is invalid, using the predecessor's: error=%s", reason)
             config = parse_config(self._environment, inherited.configuration)
-        return replace(config, saved_list=inherited.endpoint_list)
+        saved_list = inherited.endpoint_list
+        if _lacks_version(saved_list):
+            saved_list = saved_list | {"index": 0}
+        return replace(config, saved_list=saved_list)
 
     @asynccontextmanager
     async def lifespan(self, node: Node) -> AsyncIterator[None]:
@@ -145,3 +153,11 @@
         NodeCommandExecutor(node, is_started=True).execute(command)
     except CommandRejectedError as error:
         log.warning("relayed command rejected: verb=%s server=%s error=%s", verb, server_id, error)
+
+
+def _lacks_version(endpoint_list: dict[str, Any]) -> bool:
+    """Return whether a predecessor's list has no version that discovery knows.
+
+    It is so while the predecessor waits for a complete list, for example after a move of discovery.
+    """
+    return endpoint_list.get("index") == BEFORE_ALL_VERSIONS
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -5,7 +5,17 @@
 from collections import Counter
 
 import pytest
-from peers import SETTINGS, ScriptedServer, endpoint, listing, reply, run, until, with_timeout
+from peers import (
+    SETTINGS,
+    Client,
+    ScriptedServer,
+    endpoint,
+    listing,
+    reply,
+    run,
+    until,
+    with_timeout,
+)
 from processes import ClientLoad, NodeProcesses
 
 
@@ -224,6 +234,34 @@
     run(scenario())
 
 
+# Guards against a successor that ends at its start, as its predecessor waits for a complete list.
+def test_successor_starts_while_discovery_has_just_moved_and_is_silent(tmp_path):
+    async def scenario():
+        async with (
+            ScriptedServer(lambda _: reply(200)) as server,
+            ScriptedServer(lambda _: None) as silent_discovery,
+            NodeProcesses(tmp_path, server) as node,
+        ):
+            node.discovery.put(listing(7, *node.listed))
+            predecessor = await node.start_and_wait()
+            await until(lambda: "version=7" in node.log(0))
+            node.write_config(discovery=f"127.0.0.1:{silent_discovery.port}")
+            predecessor.send_signal(signal.SIGHUP)
+            await until(lambda: "discovery address changed" in node.log(0))
+            await node.start_and_wait()
+            assert "taken over" in node.log()
+            client = await Client.connect(node.port)
+            client.send()
+            assert (await client.read_response())[0] == 200
+            client.close()
+            # The complete list is requested, as no version of the new address is known.
+            await until(lambda: silent_discovery.requests.qsize() >= 2)
+            while not silent_discovery.requests.empty():
+                assert "since=-1&" in silent_discovery.requests.get_nowait().url
+
+    run(scenario())
+
+
 def test_hot_restart_works_in_folder_with_long_path(tmp_path):
     folder = tmp_path / ("f" * 60) / ("g" * 60)
     folder.mkdir(parents=True)
