Judge pipelined requests by the size of their own burst, and check a pause once

A connection that had sent many short requests and then pipelined long ones got 503 in the midst of them: the mean size was that of all its requests. It is that of the current burst now. 2. Each pause started checks of its own each 30 ms, and short pauses in a row added them up. There is one timer a connection. 3. Where nothing has to be freed, no list of incomplete requests is made. Test: 2,500 short requests, then 30 bodies of 60 kB at once: 503 before, all 30 served now.

--- a/oakbridge/node/client_connection.py
+++ b/oakbridge/node/client_connection.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, cast
 
 from oakbridge.node.client_request import ClientRequest
+from oakbridge.node.clock import Timer
 from oakbridge.node.connection_state import (
     CLOSING_STATES,
     ConnectionEvent,
@@ -66,6 +67,7 @@
 
     __slots__ = (
         "_memory",
+        "_pause_timer",
         "_server",
         "_sock",
         "in_flight",
@@ -96,6 +98,7 @@
         self.in_flight: ClientRequest | None = None
         self.pending: deque[ClientRequest] = deque()  # received, not dispatched yet
         self.reading_paused = False  # PAUSE_READING_AT requests are pending
+        self._pause_timer: Timer | None = None  # for the next check in a pause
         self.write_blocked = False  # the write buffer is full, as the client does not read
         self.response_stream: ResponseStream | None = None  # the response being streamed
 
@@ -141,6 +144,8 @@
         progress.last_read_at = self._server.clock.now()
         if not self.parser.in_progress():
             progress.request_began_at = progress.last_read_at
+        if not self.pending:
+            progress.burst_started(nbytes, self.parser.completed_count)
         self.read_delay.on_read(filled_buffer=nbytes >= self._max_read_bytes())
         if self.parser.error_status or self.is_closing():
             return  # discarded: see _close_write_side
@@ -247,16 +252,19 @@
 
         What follows is read and discarded, so that the end of the client's stream is seen.
         """
+        if self._pause_timer is not None:
+            self._pause_timer.cancel()
+            self._pause_timer = None
         if not self.reading_paused or self.transport is None or self.is_closing():
             return
-        mean_bytes = self.progress.bytes_received // max(1, self.parser.completed_count)
-        if unread_bytes(self._sock) > MAX_PIPELINED * max(1, mean_bytes):
+        mean_bytes = self.progress.mean_request_bytes(self.parser.completed_count)
+        if unread_bytes(self._sock) > MAX_PIPELINED * mean_bytes:
             self.reading_paused = False
             self.parser.fail(503)
             self.update_reading()
             return
         clock = self._server.clock
-        clock.call_at(clock.now() + PAUSE_CHECK_INTERVAL_US, self._check_pause)
+        self._pause_timer = clock.call_at(clock.now() + PAUSE_CHECK_INTERVAL_US, self._check_pause)
 
     def incomplete_request(self, now: int) -> IncompleteRequest | None:
         """Return the request that is being received; None if there is none to be rejected.
--- a/oakbridge/node/http_server.py
+++ b/oakbridge/node/http_server.py
@@ -197,6 +197,8 @@
 
         ``only_slow``: only those of clients that are slower than they may be.
         """
+        if bytes_to_free <= 0:
+            return
         now = self.clock.now()
         connections: dict[IncompleteRequest, ClientConnection] = {}
         for connection in self.limits.connections:
--- a/oakbridge/node/read_deadlines.py
+++ b/oakbridge/node/read_deadlines.py
@@ -92,6 +92,8 @@
     """Bytes that a client has sent and read between two checks of its deadline."""
 
     __slots__ = (
+        "_burst_began_at_byte",
+        "_burst_began_at_request",
         "_linger_checks",
         "_received_at_check",
         "_unacknowledged_at_check",
@@ -104,10 +106,22 @@
         self.bytes_received = 0
         self.request_began_at = 0  # when the first byte of the incomplete request was read
         self.last_read_at = 0
+        self._burst_began_at_byte = 0
+        self._burst_began_at_request = 0
         self._received_at_check = 0
         self._unacknowledged_at_check: int | None = None  # None: not checked yet
         self._linger_checks = 0
 
+    def burst_started(self, nbytes: int, completed_requests: int) -> None:
+        """Note that a read of ``nbytes`` begins a burst of requests, as none is pending."""
+        self._burst_began_at_byte = self.bytes_received - nbytes
+        self._burst_began_at_request = completed_requests
+
+    def mean_request_bytes(self, completed_requests: int) -> int:
+        """Return the mean size of the requests of the current burst; at least 1."""
+        requests = max(1, completed_requests - self._burst_began_at_request)
+        return max(1, (self.bytes_received - self._burst_began_at_byte) // requests)
+
     def body_started(self) -> None:
         """Start a new interval when a body begins, as the body has a timeout of its own."""
         self._received_at_check = self.bytes_received
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -89,6 +89,28 @@
     run(scenario())
 
 
+# Guards against long requests that are taken for many, by the size of short ones before them.
+def test_long_pipelined_requests_are_served_behind_many_short_ones():
+    async def respond_slowly(request):
+        await asyncio.sleep(0.02 if request.method == "POST" else 0)
+        return reply(200)
+
+    async def scenario():
+        async with ScriptedServer(respond_slowly) as server, RunningNode(server) as node:
+            client = await node.client()
+            for _ in range(250):
+                for _ in range(10):
+                    client.send()
+                for _ in range(10):
+                    assert (await client.read_response())[0] == 200
+            for _ in range(30):
+                client.send(method="POST", body=bytes(60_000))
+            for _ in range(30):
+                assert (await client.read_response())[0] == 200
+
+    run(scenario())
+
+
 @pytest.mark.usefixtures("short_client_timeout")
 def test_client_that_stops_within_a_request_behind_a_pause_in_reading_gets_408():
     async def respond_slowly():
