Review case 10: a long answer that pauses for 1.5 s is cut off after 1 s

Cause: until something of an answer has been passed on, a pause of 1 s ends the attempt, however much time the request has left.

Nothing outside review/ is touched.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,9 +1,9 @@
-"""After LEAVE, a connection whose long answer ends late is held idle."""
+"""A long answer whose server pauses for 1.5 s is cut off, and the booking that ran is failed."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import random
 import sys
 from pathlib import Path
 
@@ -22,95 +22,113 @@
     with_trouble,
 )
 
-CLIENTS = 6
-ANSWER_BYTES = 400_000
-ANSWER_S = 1.5  # how long a slow server writes an answer
-PIECES = 60
-LEAVE_AFTER_S = 0.4  # after the requests
-JUDGED_AFTER_S = 4.0  # after the operators' call
-NO_REQUEST_FOR_S = 2.0
-
-
-async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Answer with a long body; with the disruption it is written slowly, in small pieces."""
-    while await read_message(reader) is not None:
-        body = b"y" * ANSWER_BYTES
-        if not with_trouble():
-            writer.write(encode("HTTP/1.1 200 OK", {}, body))
-            continue
-        writer.write(encode("HTTP/1.1 200 OK", {"Content-Length": str(len(body))}))
-        size = ANSWER_BYTES // PIECES
-        for start in range(0, ANSWER_BYTES, size):
-            writer.write(body[start : start + size])
-            await writer.drain()
-            await asyncio.sleep(ANSWER_S / PIECES)
+SERVERS = 4
+BOOKINGS = 60
+INTERVAL_S = 0.15
+WORK_S = 0.1
+ANSWER_BYTES = 100_000  # over 64 KiB
+FIRST_BYTES = 20_000  # of a body in chunks, before the pause
+SLOW_SHARE = 0.25  # of the answers
+PAUSE_S = 1.5
+TIMEOUT_S = 6.0
 
 
-class Client:
-    """A client that sends one request and keeps its connection."""
+class Server:
+    """A server that gives each answer in two parts; with the disruption it may pause between."""
 
-    def __init__(self, number: int, stage: Stage) -> None:
-        self.name = f"client {number}"
-        self._request_id = f"{number:016x}"
+    def __init__(self, name: str, stage: Stage, rng: random.Random, ends: dict[str, str]) -> None:
+        self.name = name
         self._record = stage.record
-        self.answered_at = 0.0
-        self.closed_at: float | None = None  # when the node has closed the connection
-
-    async def use(self, port: int) -> None:
-        """Send a request, read its answer, and wait for the end of the connection."""
-        reader, writer = await asyncio.open_connection(LOCALHOST, port)
-        headers = {
-            "Host": "app.svc", "X-Request-ID": self._request_id, "X-Priority-Class": "car-nearby",
-            "X-Timeout": "6000m",
-        }  # fmt: skip
-        self._record.add(f"{self.name} sends {self._request_id}")
-        writer.write(encode("GET /api HTTP/1.1", headers))
-        answer = await read_message(reader)
-        self.answered_at = self._record.now()
-        if answer is None:
-            raise CouldNotRunError(f"{self.name} gets no whole answer")
-        how = answer.headers.get("connection", "not announced as the last one")
-        self._record.add(f"{self.name} gets {answer.status}, {len(answer.body)} bytes, {how}")
-        with contextlib.suppress(ConnectionError):
-            await reader.read()
-        self.closed_at = self._record.now()
-        self._record.add(f"{self.name}: the node has closed the connection")
-        writer.close()
+        self._rng = rng
+        self._ends = ends  # how giving an answer with a pause ended, by request id
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer the requests of a connection."""
+        while (request := await read_message(reader)) is not None:
+            request_id = request.headers["x-request-id"]
+            self._record.add(f"{self.name} runs {request_id}")
+            await asyncio.sleep(WORK_S)
+            first, rest = self._parts(chunked=self._rng.random() < 0.5)
+            writer.write(first)
+            if with_trouble() and self._rng.random() < SLOW_SHARE:
+                await self._pause(request_id, reader)
+            writer.write(rest)
+            await writer.drain()
+
+    async def _pause(self, request_id: str, reader: asyncio.StreamReader) -> None:
+        """Pause, and note whether the node has closed the connection before the rest."""
+        paused_at = self._record.now()
+        try:
+            async with asyncio.timeout(PAUSE_S):
+                closed = not await reader.read(1)
+        except TimeoutError:
+            closed = False
+        except ConnectionError:
+            closed = True
+        paused_s = self._record.now() - paused_at
+        how = "cut off" if closed else "waited for"
+        self._ends[request_id] = f"{how} after {paused_s:.2f} s"
+        self._record.add(f"{self.name}: its answer to {request_id} is {how} after {paused_s:.2f} s")
+
+    @staticmethod
+    def _parts(*, chunked: bool) -> tuple[bytes, bytes]:
+        """Return an answer in two parts: a head with or without the first chunk, and the rest."""
+        if not chunked:
+            headers = {"Content-Length": str(ANSWER_BYTES)}
+            return encode("HTTP/1.1 200 OK", headers), b"z" * ANSWER_BYTES
+        head = encode("HTTP/1.1 200 OK", {"Transfer-Encoding": "chunked"})
+        left = ANSWER_BYTES - FIRST_BYTES
+        first = b"%x\r\n" % FIRST_BYTES + b"z" * FIRST_BYTES + b"\r\n"
+        return head + first, b"%x\r\n" % left + b"z" * left + b"\r\n0\r\n\r\n"
+
+
+async def _book(stage: Stage, port: int, request_id: str) -> tuple[str, int, int]:
+    """Send one book-trip on a connection of its own; return its id, status and bytes received."""
+    reader, writer = await asyncio.open_connection(LOCALHOST, port)
+    headers = {
+        "Host": "app.svc", "X-Request-ID": request_id, "X-Priority-Class": "book-trip",
+        "X-Timeout": f"{int(TIMEOUT_S * 1000)}m",
+    }  # fmt: skip
+    stage.record.add(f"client sends {request_id}")
+    writer.write(encode("POST /api HTTP/1.1", headers, b"trip"))
+    answer = await read_message(reader)
+    writer.close()
+    status, received = (0, 0) if answer is None else (answer.status, len(answer.body))
+    stage.record.add(f"client gets {status}, {received} bytes to {request_id}")
+    return request_id, status, received
 
 
 async def play(stage: Stage) -> list[str]:
-    """Empty a node while it forwards long answers, and look at its connections 4 s later."""
-    for number in range(3):
-        await stage.discovery.put(f"s-{number}", port_of(await listen(serve)))
+    """Count the bookings that ran, and whose answer the node cut off within the client's time."""
+    rng = random.Random(10)
+    ends: dict[str, str] = {}
+    for number in range(SERVERS):
+        server = Server(f"s-{number}", stage, rng, ends)
+        await stage.discovery.put(server.name, port_of(await listen(server.serve)))
     node = stage.new_node("a")
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
     known = stage.discovery.whole_list()
     node.start({"limits": limits, "known": known, "settings": settings()})
     await node.wait_until_ready()
-    await node.wait_for_yes()
-    clients = [Client(number, stage) for number in range(CLIENTS)]
-    tasks = [asyncio.create_task(client.use(node.listen_port)) for client in clients]
-    await asyncio.sleep(LEAVE_AFTER_S)
-    left_at = stage.record.now()
-    answer = await node.call("LEAVE")
-    stage.record.say(f"operators' call LEAVE at {left_at:.3f} s: {answer}")
-    if not answer.startswith("YES"):
-        raise CouldNotRunError("LEAVE was refused")
-    await asyncio.sleep(left_at + JUDGED_AFTER_S - stage.record.now())
-    breaks = []
-    if await node.is_ready():
-        breaks.append("the node still says that it is ready")
-    for client, task in zip(clients, tasks, strict=True):
-        if task.done() and (error := task.exception()) is not None:
-            raise error
-        rested_s = stage.record.now() - client.answered_at
-        if not client.answered_at or rested_s < NO_REQUEST_FOR_S:
-            raise CouldNotRunError(f"{client.name} got its answer too late to be judged")
-        if client.closed_at is None:
-            breaks.append(f"{client.name} is held idle, for {rested_s:.2f} s so far")
-    for task in tasks:
-        task.cancel()
-    return breaks
+    tasks = []
+    for number in range(BOOKINGS):
+        tasks.append(asyncio.create_task(_book(stage, node.listen_port, f"{number:016x}")))
+        await asyncio.sleep(INTERVAL_S)
+    results = await asyncio.gather(*tasks)
+    if node.has_ended():
+        return ["the node has ended"]
+    whole = {name for name, status, size in results if (status, size) == (200, ANSWER_BYTES)}
+    if not whole:
+        raise CouldNotRunError("no answer was whole")
+    cut = {name: how for name, how in ends.items() if how.startswith("cut off")}
+    stage.record.say(
+        f"bookings: {len(results)}, whole: {len(whole)}, answers with a pause: {len(ends)}"
+    )
+    return [
+        f"{name} got {status} and {size} bytes; its answer was {cut[name]}, of {TIMEOUT_S} s"
+        for name, status, size in results
+        if name in cut and name not in whole
+    ]
 
 
 run_case(__file__, play, limit_s=60.0)
