--- a/review/7/case.py
+++ b/review/7/case.py
@@ -93,6 +93,7 @@
             key = request.headers.get("idempotency-key")
             status = 200 if key is None else self._run(request, key, began_at)
             if key is None:
+                self._record.add(f"{self.name} runs {_id(request)}, safe to repeat")
                 await asyncio.sleep(0.02)
             writer.write(encode(f"HTTP/1.1 {status} X", {}, _id(request).encode()))
 
@@ -134,11 +135,11 @@
             "Host": "app.svc", "X-Request-ID": request_id, "X-Timeout": "6000m",
             "X-Priority-Class": "close-trip" if body else "car-nearby",
         }  # fmt: skip
+        stage.record.add(f"client sends {request_id}, {len(body)} bytes of body")
         writer.write(encode(head, headers | keyed, body))
         answer = await read_message(reader)
-        if body:
-            status = "no answer" if answer is None else str(answer.status)
-            stage.record.add(f"client gets {status} to {request_id}")
+        status = "no answer" if answer is None else str(answer.status)
+        stage.record.add(f"client gets {status} to {request_id}")
     finally:
         writer.close()
 
@@ -171,7 +172,6 @@
     async with asyncio.TaskGroup() as group:
         for number in range(KEYED_REQUESTS):
             request_id = f"c{number:015x}"
-            stage.record.add(f"client sends {request_id}")
             group.create_task(
                 _send(stage, node.listen_port, request_id, "POST /api HTTP/1.1", b"x" * BODY_BYTES)
             )
