Review cases: a script that is told to end ends its processes first

Cause: a case that gets SIGTERM, for example by a time-out around it, ended without its cleaning up, and left its nodes running.

No check, bound or load was changed.

--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -407,7 +407,11 @@
 
 
 def run_case(case_file: str, play: Callable[[Stage], Awaitable[list[str]]], limit_s: float) -> None:
-    """Play a case, which returns what broke the rule, and exit with its verdict."""
+    """Play a case, which returns what broke the rule, and exit with its verdict.
+
+    A case that is told to end (SIGTERM) ends its processes first.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     sys.exit(asyncio.run(_run(Path(case_file).resolve().parent, play, limit_s)))
 
 
