Reused connections: a connection paused for a slow client reads again when idle

What callers saw: after long responses to slow clients, bookings ran, their server wrote the response at once, and the client got 502 at its timeout without a byte.

Cause: a connection to a server leaves the event loop while the buffers towards a slow client are full. If the read that filled them held the end of the response too, it went back to the pool like that, and the next request only cleared the flag. Its response was never read, and a close by the server of the idle connection was not noticed.

Change: a connection becomes idle in one place, in the state of one that was just established: it reads, its parser and its unsent request are cleared, no timer runs. Setting a timer stops the one before it.

--- a/oakbridge/node/server_connection.py
+++ b/oakbridge/node/server_connection.py
@@ -129,7 +129,7 @@
 
     def _on_established(self) -> None:
         self.connected = True
-        self._pool.loop.add_reader(self._sock, self._run_guarded, self._on_readable)
+        self._start_reading()
         attempt = self.attempt
         if attempt is None:
             return
@@ -143,9 +143,6 @@
 
     def send(self, attempt: Attempt) -> None:
         """Write an attempt to this idle connection."""
-        self._response.reset()
-        self._unsent.clear()
-        self.paused = False
         self.attempt = attempt
         attempt.connection = self
         self._start_request(attempt)
@@ -209,6 +206,10 @@
 
     # ---- reading the response
 
+    def _start_reading(self) -> None:
+        self.paused = False
+        self._pool.loop.add_reader(self._sock, self._run_guarded, self._on_readable)
+
     def _on_readable(self) -> None:
         try:
             data = self._sock.recv(self._pool.memory.scaled(READ_BYTES))
@@ -290,9 +291,8 @@
     def resume(self) -> None:
         """Continue to read."""
         if self.paused and not self.closed:
-            self.paused = False
+            self._start_reading()
             self._fail_after(STREAM_STALL_TIMEOUT_US)
-            self._pool.loop.add_reader(self._sock, self._run_guarded, self._on_readable)
 
     def _update_memory(self) -> None:
         """State the memory that this connection holds; a buffered body is held by its client."""
@@ -326,10 +326,9 @@
         if sink is not None:
             sink.finish_response()
         end = response.take(result)
-        self._update_memory()
         self._has_served = self._has_served or result != AttemptResult.REJECTED
         if self._can_be_kept():
-            self._pool.put_idle(self)
+            self._become_idle()
         else:
             self.close()
         if attempt is not None:
@@ -344,6 +343,21 @@
             and not self.closed
         )
 
+    def _become_idle(self) -> None:
+        """Return to the pool in the state of a connection that was just established.
+
+        It reads, so that a close by the server is noticed, and has no timer that runs: its callers
+        have stopped those of the response.
+        """
+        self._response.reset()
+        self._unsent.clear()
+        self._update_memory()
+        if (
+            self.paused
+        ):  # the end of the response had been read before the client's buffers were full
+            self._start_reading()
+        self._pool.put_idle(self)
+
     # ---- close
 
     def is_stale(self) -> bool:
@@ -362,6 +376,7 @@
 
     def _fail_after(self, timeout_us: int) -> None:
         """Fail the connection after a timeout, unless the timer is stopped before."""
+        self._stop_timer()
         self._timer = self._pool.clock.call_at(self._pool.clock.now() + timeout_us, self._fail)
 
     def _stop_timer(self) -> None:
