Responses: a pause of the server no longer ends one before its request's time

What callers saw: a booking ran, its server paused for 1.5 s within a response of 100 kB, and the client got 502 after 1.0 s of the pause, with over 4 s left.

Cause: until a response was passed on, a pause of 1 s failed its attempt. That is a retry for a safe request, and a loss for one that has run.

Change: node/response_timers.py owns the times of a response that has begun. Before it is passed on, the attempt's deadline ends it; a pause does only where the request would be retried (asked of the balancer) and the response is short by its length, has no framing or no complete head. What may be long is passed on 0.1 s before the deadline, also while its server pauses; a short one is ended 0.4 s after the client's time. A pause in a streamed response does not end it before the client's time. The balancer's cancel of a hung attempt leaves a long response that has begun.

Tests: test_invalid_response_ends_its_attempt_long_before_the_deadline now says that its request can be retried, which its rule is about; a second test asks that the others are waited for until their deadline.

--- a/oakbridge/node/attempt.py
+++ b/oakbridge/node/attempt.py
@@ -62,16 +62,28 @@
     # Called once the last byte of ``streamed_body`` is written.
     on_request_sent: Callable[[], None] | None = None
     start_by: int | None = None  # deadline for writing the first byte
+    # Until when the client waits for a response that is not long; 0: until ``deadline``.
+    client_deadline: int = 0
+    # Returns whether the request would be retried if this attempt failed now.
+    can_retry: Callable[[], bool] = field(default=lambda: False)
     # Returns whether the client still waits; called after a dial, before the first byte is written.
     is_wanted: Callable[[], bool] = field(default=lambda: True)
     connection: ServerConnection | None = field(default=None, init=False)
     timer: Timer | None = field(default=None, init=False)  # ends the attempt at its deadline
     ended: bool = field(default=False, init=False)
 
+    def __post_init__(self) -> None:
+        """Use the attempt's own deadline where the client has no later one."""
+        self.client_deadline = max(self.client_deadline, self.deadline)
+
     def is_written(self) -> bool:
         """Return whether the last byte was written, so that the server may run the request."""
         return self.connection is not None and self.connection.request_written()
 
+    def may_get_long_response(self) -> bool:
+        """Return whether a response has begun that may be longer than would be buffered."""
+        return self.connection is not None and self.connection.response_may_be_long()
+
     def finish(self, end: AttemptEnd) -> None:
         """End the attempt; only the first call has an effect."""
         if self.ended:
--- a/oakbridge/node/connection_pool.py
+++ b/oakbridge/node/connection_pool.py
@@ -229,8 +229,11 @@
         """Change the deadline of an attempt."""
         if not attempt.ended and attempt.timer is not None:
             attempt.deadline = deadline
+            attempt.client_deadline = deadline
             attempt.timer.cancel()
             self._set_timer(attempt, deadline)
+            if attempt.connection is not None:
+                attempt.connection.on_deadline_changed()
 
     def _set_timer(self, attempt: Attempt, deadline: int) -> None:
         attempt.timer = self.clock.call_at(deadline, lambda: self.expire(attempt))
--- a/oakbridge/node/dispatcher.py
+++ b/oakbridge/node/dispatcher.py
@@ -86,6 +86,14 @@
 
     # ---- events
 
+    def can_retry(self, request_id: int) -> bool:
+        """Return whether the balancer would retry a request if its attempt in flight failed now."""
+        balancer, now = self.balancer, self._clock.now()
+        request = balancer.requests.get(request_id)
+        if request is None or balancer.budget.left(now) < 1:
+            return False
+        return balancer.safety.allows_retry(request, None, now)
+
     def post(self, event: Event, as_of: int | None = None) -> None:
         """Hand an event to the balancer; while actions are executed, further events are queued.
 
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -82,7 +82,13 @@
             loop, self.clock, self.dispatcher, self.pool, self.offline_servers
         )
         self.forwarder = RequestForwarder(
-            config.settings, self.clock, self.pool, self.endpoints, self.dispatcher.post, self.ids
+            config.settings,
+            self.clock,
+            self.pool,
+            self.endpoints,
+            self.dispatcher.post,
+            self.ids,
+            self.dispatcher.can_retry,
         )
         self.dispatcher.attach(self.forwarder, self.source)
         self.server = self._make_server(loop, listening or ListenOptions())
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from oakbridge.node.attempt import Attempt, AttemptEnd, ResponseSink
@@ -64,8 +64,12 @@
         endpoints: EndpointUpdates,
         post: EventSink,
         ids: Iterator[int],
+        can_retry: Callable[[int], bool],
     ) -> None:
-        """``post``: hands an event to the balancer; ``ids``: request ids, shared by all fronts."""
+        """``post``: hands an event to the balancer; ``ids``: request ids, shared by all fronts.
+
+        ``can_retry``: returns whether the balancer would retry a request, given its id.
+        """
         self.requests: dict[int, ClientRequest] = {}
         self.open_ids: set[bytes] = set()  # X-Request-IDs of ``requests``
         self._recent_ids = RecentIds()  # of requests that are not idempotent
@@ -79,6 +83,7 @@
         self._endpoints = endpoints
         self._post = post
         self._ids = ids
+        self._can_retry = can_retry
         self.configure(settings)
 
     def configure(self, settings: Settings) -> None:
@@ -267,10 +272,16 @@
             streamed_body=request.streamed_body,
             on_request_sent=None if request.streamed_body is None else forwarded.on_request_sent,
             start_by=decided_at + action.start_within if action.start_within else None,
+            client_deadline=now + self._response_time_left(request, now),
+            can_retry=forwarded.can_retry,
             is_wanted=forwarded.is_wanted,
         )
         self._pool.send(request.attempt)
 
+    def can_retry(self, request: ClientRequest) -> bool:
+        """Return whether a request would be retried if its attempt failed now."""
+        return self._can_retry(request.id)
+
     def _post_unsent_end(self, request: ClientRequest | None, action: SendAttempt) -> None:
         """Post the end of an attempt that was never sent: the balancer expects one for each."""
         number, over = 0, True
@@ -291,11 +302,16 @@
         self._post(RequestBodySent(request.id, forwarded.number, time_left), now)
 
     def cancel(self, action: CancelAttempt) -> None:
-        """Cancel an attempt, if it is in flight."""
+        """Cancel an attempt, if it is in flight.
+
+        One that was to be retried elsewhere goes on if its server has begun a response that may be
+        long: only the first byte of such a response has to be in time.
+        """
         request = self.requests.get(action.request_id)
-        attempt = None if request is None else request.attempt
-        if attempt is not None and attempt.number == action.attempt:
-            self._pool.cancel(attempt)
+        if request is None or request.attempt is None or request.attempt.number != action.attempt:
+            return
+        if request.response_settled or not request.attempt.may_get_long_response():
+            self._pool.cancel(request.attempt)
 
     # ---- responses
 
--- a/oakbridge/node/response_parser.py
+++ b/oakbridge/node/response_parser.py
@@ -102,19 +102,22 @@
         return held
 
     def may_be_long(self) -> bool:
-        """Return whether the response is buffered, and its head does not tell the body's length."""
+        """Return whether the response is buffered, and may be longer than would be buffered."""
         is_buffered = self._headers_complete and not self.complete and self.sink is None
-        return is_buffered and self.status == STATUS_OK and self.content_length is None
+        if not is_buffered or self.status != STATUS_OK:
+            return False
+        return self.content_length is None or self.is_long()
 
     def is_long(self) -> bool:
-        """Return whether more of the body was received than would be buffered."""
-        return self._body_bytes > MAX_BUFFERED_BYTES
+        """Return whether the body is known to be longer than would be buffered."""
+        return max(self._body_bytes, self.content_length or 0) > MAX_BUFFERED_BYTES
 
-    def finish_at_close(self) -> bool:
-        """Complete a response that extends to the close of its connection (RFC 9112, 6.3, 8).
+    def ends_at_close(self) -> bool:
+        """Return whether the response extends to the close of its connection (RFC 9112, 6.3, 8)."""
+        return self._finishes_at_close
 
-        Return False if this response does not.
-        """
+    def finish_at_close(self) -> bool:
+        """Complete a response that extends to the close of its connection; False if it does not."""
         if not self._finishes_at_close or not self.status:
             return False
         self.complete = True
--- a/oakbridge/node/server_connection.py
+++ b/oakbridge/node/server_connection.py
@@ -18,6 +18,7 @@
 from oakbridge.node.clock import Timer
 from oakbridge.node.memory_account import CONNECTION_BYTES, MemoryShare
 from oakbridge.node.response_parser import ResponseError, ResponseParser
+from oakbridge.node.response_timers import MIN_TIME_FOR_RETRY_US, ResponseTimers
 from oakbridge.node.system_errors import is_local_connect_error, is_resource_error
 from oakbridge.node.unsent_request import UnsentRequest
 from oakbridge.policy.events import AttemptResult
@@ -28,17 +29,6 @@
 log = logging.getLogger(__name__)
 
 READ_BYTES = 64 * 1024
-# Maximum pause within a buffered response; a server that pauses longer is taken to have failed.
-STALL_TIMEOUT_US = 1_000_000
-# Maximum pause within a streamed response; longer, as its request can't be retried any more.
-STREAM_STALL_TIMEOUT_US = 10_000_000
-# A response without a length is streamed from so long before its deadline on: if it is long, only its
-# first byte has to be in time.
-STREAM_START_MARGIN_US = 100_000
-# Maximum age of the last bytes of such a response; without newer ones the server is not writing.
-MAX_PART_AGE_US = 250_000
-# How long after its deadline such a response may end if it is not long: later it would be lost.
-SHORT_RESPONSE_GRACE_US = 400_000
 # The kernel goes on connecting, also after a connect() that a signal interrupted.
 _CONNECTING = (errno.EINPROGRESS, errno.EINTR)
 
@@ -52,14 +42,13 @@
 
     __slots__ = (
         "_awaits_writable",
+        "_dial_timer",
         "_has_served",
-        "_length_timer",
         "_memory",
         "_pool",
-        "_received_at",
         "_response",
+        "_response_timers",
         "_sock",
-        "_timer",
         "_unsent",
         "attempt",
         "closed",
@@ -86,9 +75,8 @@
         self._awaits_writable = False
         self._unsent = UnsentRequest()
         self.paused = False  # the buffers towards the client are full
-        self._timer: Timer | None = None  # timeout of the dial, then of each pause in a response
-        self._length_timer: Timer | None = None  # for a response without a length
-        self._received_at = 0  # when the last bytes of a response were received
+        self._dial_timer: Timer | None = None
+        self._response_timers = ResponseTimers(pool.clock, self)
         self._response = ResponseParser(self._open_sink, pool.memory)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._memory = MemoryShare(pool.memory)
@@ -109,7 +97,8 @@
             self._on_established()
         elif error_number in _CONNECTING:
             if timeout_us:
-                self._fail_after(timeout_us)
+                due = self._pool.clock.now() + timeout_us
+                self._dial_timer = self._pool.clock.call_at(due, self._fail)
             self._await_writable(self._on_connect_done)
         elif is_local_connect_error(error_number):
             raise OSError(error_number, os.strerror(error_number))
@@ -119,7 +108,7 @@
 
     def _on_connect_done(self) -> None:
         self._stop_awaiting_writable()
-        self._stop_timer()
+        self._stop_dial_timer()
         if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self._fail()
             if self._pool.observer is not None:
@@ -241,58 +230,70 @@
             self._on_response_complete()
         else:
             self._update_memory()
-            self._schedule_stream_start()
-            if not self.paused:
-                self._restart_stall_timer()
+            self._restart_response_timers()
 
-    def _schedule_stream_start(self) -> None:
-        """Note that bytes were received; set a timer if they may belong to a long response."""
-        self._received_at = self._pool.clock.now()
-        attempt = self.attempt
-        if self._length_timer is None and attempt is not None and self._response.may_be_long():
-            self._length_timer = self._pool.clock.call_at(
-                attempt.deadline - STREAM_START_MARGIN_US, self._start_stream_before_deadline
-            )
+    def _restart_response_timers(self) -> None:
+        """Limit the pause until more of the response is received.
 
-    def _start_stream_before_deadline(self) -> None:
-        """Stream a response that may be long, if its server is still writing it."""
-        attempt, now = self.attempt, self._pool.clock.now()
-        is_written = now - self._received_at <= MAX_PART_AGE_US
-        if attempt is None or not is_written or not self._response.may_be_long():
-            return
-        self._response.start_streaming()
-        if self._response.sink is not None:
-            self._length_timer = self._pool.clock.call_at(
-                attempt.deadline + SHORT_RESPONSE_GRACE_US, self._abort_short_response
-            )
+        There is no such limit before the response starts, or after an interim response (1xx).
+        """
+        attempt, response, timers = self.attempt, self._response, self._response_timers
+        if attempt is None or self.paused or not response.started:
+            timers.stop_pause()
+        elif response.sink is not None:
+            timers.on_streamed(attempt)
+        else:
+            timers.on_buffered(attempt, may_be_long=response.may_be_long())
 
-    def _abort_short_response(self) -> None:
-        """Abort a streamed response that is too late, unless it is long."""
-        if self._response.sink is not None and not self._response.is_long():
-            self._fail()
+    def response_may_be_long(self) -> bool:
+        """Return whether a response has begun that may be longer than would be buffered."""
+        return self._response.may_be_long()
 
-    def _restart_stall_timer(self) -> None:
-        """Limit pauses in a response; an incomplete one would last until the attempt's deadline.
+    def on_deadline_changed(self) -> None:
+        """Handle that the attempt's deadline has changed."""
+        if self.attempt is not None and self._response.sink is None:
+            self._response_timers.on_deadline_changed(self.attempt)
 
-        There is no such limit before the response starts, or after an interim response (1xx).
+    def on_response_stalled(self) -> None:
+        """Have the request retried elsewhere, if it may be.
+
+        A response that can't be retried, or whose head announces that it may be long, is waited for:
+        it would be lost if the server goes on.
         """
-        self._stop_timer()
-        if self._response.started:
-            is_streaming = self._response.sink is not None
-            self._fail_after(STREAM_STALL_TIMEOUT_US if is_streaming else STALL_TIMEOUT_US)
+        attempt, response = self.attempt, self._response
+        if attempt is None or (response.may_be_long() and not response.ends_at_close()):
+            return
+        time_left = attempt.deadline - self._pool.clock.now()
+        if time_left >= MIN_TIME_FOR_RETRY_US and attempt.can_retry():
+            self._fail()
+
+    def on_stream_stalled(self) -> None:
+        """Give up a streamed response whose server is silent."""
+        self._fail()
+
+    def on_stream_due(self) -> None:
+        """Stream a response that may be long before its deadline."""
+        if self.attempt is not None and self._response.may_be_long():
+            self._response.start_streaming()
+            self._restart_response_timers()
+
+    def on_short_response_due(self) -> None:
+        """Abort a streamed response that is too late, unless it is long or its client is slow."""
+        if not (self._response.is_long() or self.paused):
+            self._fail()
 
     def pause(self) -> None:
         """Stop reading, as the buffers towards the client are full."""
         if not self.paused and not self.closed:
             self.paused = True
-            self._stop_timer()
+            self._response_timers.stop_pause()
             self._pool.loop.remove_reader(self._sock)
 
     def resume(self) -> None:
         """Continue to read."""
         if self.paused and not self.closed:
             self._start_reading()
-            self._fail_after(STREAM_STALL_TIMEOUT_US)
+            self._restart_response_timers()
 
     def _update_memory(self) -> None:
         """State the memory that this connection holds; a buffered body is held by its client."""
@@ -310,6 +311,7 @@
             return None
         if attempt.timer is not None:
             attempt.timer.cancel()  # the deadline does not apply once the response has started
+        self._response_timers.on_stream_started(attempt, is_long=response.is_long())
         end = AttemptEnd(result, response.headers, status=response.status)
         return attempt.on_response_start(end, response.content_length, self)
 
@@ -319,8 +321,7 @@
         if not self.request_written() and result != AttemptResult.REJECTED:
             self._fail()  # the request is incomplete, so this is not its response
             return
-        self._stop_timer()
-        self._stop_length_timer()
+        self._response_timers.stop()
         attempt, self.attempt = self.attempt, None
         sink = response.detach_sink()
         if sink is not None:
@@ -346,15 +347,12 @@
     def _become_idle(self) -> None:
         """Return to the pool in the state of a connection that was just established.
 
-        It reads, so that a close by the server is noticed, and has no timer that runs: its callers
-        have stopped those of the response.
+        It reads, so that a close by the server is noticed, and no timer of its response runs.
         """
         self._response.reset()
         self._unsent.clear()
         self._update_memory()
-        if (
-            self.paused
-        ):  # the end of the response had been read before the client's buffers were full
+        if self.paused:  # the end of the response filled the buffers towards the client
             self._start_reading()
         self._pool.put_idle(self)
 
@@ -374,20 +372,10 @@
             return True
         return True  # end of file, or bytes that belong to no request
 
-    def _fail_after(self, timeout_us: int) -> None:
-        """Fail the connection after a timeout, unless the timer is stopped before."""
-        self._stop_timer()
-        self._timer = self._pool.clock.call_at(self._pool.clock.now() + timeout_us, self._fail)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _stop_length_timer(self) -> None:
-        if self._length_timer is not None:
-            self._length_timer.cancel()
-            self._length_timer = None
+    def _stop_dial_timer(self) -> None:
+        if self._dial_timer is not None:
+            self._dial_timer.cancel()
+            self._dial_timer = None
 
     def _run_guarded(self, callback: Callable[[], None]) -> None:
         """Run a callback of the loop; an exception closes only this connection."""
@@ -425,8 +413,8 @@
         if self.closed:
             return
         self.closed = True
-        self._stop_timer()
-        self._stop_length_timer()
+        self._stop_dial_timer()
+        self._response_timers.release()
         self._pool.loop.remove_reader(self._sock)
         self._stop_awaiting_writable()
         self._sock.close()
--- a/oakbridge/policy/retry_safety.py
+++ b/oakbridge/policy/retry_safety.py
@@ -26,13 +26,17 @@
 
     def allows_attempt(self, request: OpenRequest, server: Server | None, now: int) -> bool:
         """Whether another attempt is allowed at the given server; None: at any server."""
+        if request.in_flight and not self.settings.hedging_allowed:
+            return False
+        return self.allows_retry(request, server, now)
+
+    def allows_retry(self, request: OpenRequest, server: Server | None, now: int) -> bool:
+        """Whether another attempt is allowed once none is in flight; server as above."""
         if not request.attempts:
             return True
         settings, klass = self.settings, request.klass
         if request.is_streamed or len(request.attempts) >= settings.max_attempts:
             return False
-        if request.in_flight and not settings.hedging_allowed:
-            return False
         listed_since = server.listed_since if server else self.oldest_version
         if settings.pin_endpoint_list and request.list_version < listed_since:
             return False  # not listed continuously since the first attempt
