Hand-over: both processes of a node know its open ids and those that may have run

What callers saw: the id of an open booking, sent by a bad client right after the yes of a new process, ran a second time there; without an upgrade it gets 409.

Cause: open ids and those that may have run were known to one process alone; no message of a hand-over had them.

Change: node/request_ids.py keeps the ids of all processes of a node. handover/shared_request_ids.py sends them with a message of its own, all before the successor serves and then each change, in both directions; the open ids of a process that ended count as ids that may have run. Hello and Welcome say whether a process takes the message, so that an earlier release is sent none.

--- a/oakbridge/handover/actions.py
+++ b/oakbridge/handover/actions.py
@@ -9,6 +9,7 @@
     Message,
     RelayedCommand,
     RemainingLoad,
+    RequestIdUpdate,
     TakeOver,
     Welcome,
 )
@@ -71,11 +72,18 @@
     update: EndpointListUpdate
 
 
+@dataclass(frozen=True, slots=True)
+class ApplyRequestIds:
+    """Use the ids of requests that the other process has sent."""
+
+    update: RequestIdUpdate
+
+
 @dataclass(frozen=True, slots=True)
 class Disconnect:
     """Close the connection to the other process."""
 
 
-CommonAction = Send | ApplyCommand | ApplyEndpointList | Disconnect
+CommonAction = Send | ApplyCommand | ApplyEndpointList | ApplyRequestIds | Disconnect
 PredecessorAction = CommonAction | SendWelcome | DrainToSuccessor | ResumeServing
 SuccessorAction = CommonAction | BuildNode | StartServing | ReserveForPredecessor
--- a/oakbridge/handover/channel.py
+++ b/oakbridge/handover/channel.py
@@ -83,6 +83,10 @@
         self._loop.call_soon(self._on_disconnect, self)
         return False
 
+    def has_backlog(self) -> bool:
+        """Return whether messages wait until the other process has read earlier ones."""
+        return bool(self._unsent)
+
     def take_unsent_descriptors(self) -> list[int]:
         """Drop all queued packets and return their descriptors, which the caller then owns."""
         unsent = [descriptor for _, descriptors in self._unsent for descriptor in descriptors]
--- a/oakbridge/handover/messages.py
+++ b/oakbridge/handover/messages.py
@@ -24,6 +24,7 @@
 
     node_name: str
     shares_lists: bool | None = None  # whether the sender sends and accepts EndpointListUpdate
+    shares_request_ids: bool | None = None  # the same for RequestIdUpdate
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,7 @@
     # times of the node's clock.  None: the predecessor's release does not send the offset.
     clock_offset_us: int | None = None
     shares_lists: bool | None = None  # as in Hello
+    shares_request_ids: bool | None = None  # as in Hello
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +78,22 @@
     list_age_us: int | None  # since the list was known to be up to date; None: unknown
 
 
+@dataclass(frozen=True, slots=True)
+class RequestIdUpdate:
+    """In both directions: the state of requests by their X-Request-IDs, as the sender knows it.
+
+    The first one from the predecessor, sent before its TakeOver, has all ids; later ones have those
+    whose state has changed.
+    """
+
+    opened: list[str]  # open, and must not run twice
+    opened_idempotent: list[str]  # open, and may run twice
+    closed: list[str]  # not open
+    # Ids of requests that may have run and must not run twice, open or not, with the time for which
+    # they are remembered, in microseconds.
+    remembered: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class RelayedCommand:
     """In both directions: an operator's command that the sender received and carried out."""
@@ -99,7 +117,7 @@
     """Predecessor to successor: an idle client connection, sent with its descriptor."""
 
 
-SuccessorMessage = Hello | Ready | RelayedCommand | EndpointListUpdate
+SuccessorMessage = Hello | Ready | RelayedCommand | EndpointListUpdate | RequestIdUpdate
 PredecessorMessage = (
     Welcome
     | Decline
@@ -108,6 +126,7 @@
     | RemainingLoad
     | ClientConnection
     | EndpointListUpdate
+    | RequestIdUpdate
 )
 Message = SuccessorMessage | PredecessorMessage
 
@@ -138,6 +157,7 @@
         (
             _Field("node_name", "name", str),
             _Field("shares_lists", "lists", bool, is_optional=True),
+            _Field("shares_request_ids", "ids", bool, is_optional=True),
         ),
     ),
     _Format(
@@ -150,6 +170,7 @@
             _Field("is_draining", "draining", bool),
             _Field("clock_offset_us", "clock", int, is_optional=True),
             _Field("shares_lists", "lists", bool, is_optional=True),
+            _Field("shares_request_ids", "ids", bool, is_optional=True),
         ),
     ),
     _Format("decline", Decline, (_Field("reason", "why", str),)),
@@ -171,6 +192,16 @@
             _Field("list_age_us", "age", int, is_optional=True),
         ),
     ),
+    _Format(
+        "ids",
+        RequestIdUpdate,
+        (
+            _Field("opened", "open", list),
+            _Field("opened_idempotent", "safe", list),
+            _Field("closed", "closed", list),
+            _Field("remembered", "ran", dict),
+        ),
+    ),
     _Format(
         "call",
         RelayedCommand,
--- a/oakbridge/handover/predecessor.py
+++ b/oakbridge/handover/predecessor.py
@@ -12,6 +12,7 @@
 from oakbridge.handover.actions import (
     ApplyCommand,
     ApplyEndpointList,
+    ApplyRequestIds,
     Disconnect,
     DrainToSuccessor,
     PredecessorAction,
@@ -30,6 +31,7 @@
     Welcome,
 )
 from oakbridge.handover.shared_lists import SharedLists
+from oakbridge.handover.shared_request_ids import SharedRequestIds
 from oakbridge.handover.state_machine import (
     HAS_SUCCESSOR,
     PredecessorState,
@@ -67,6 +69,9 @@
         # To the successor, or to a process that asks to become the successor.
         self._channel: Channel | None = None
         self._lists = SharedLists(node, lambda: self._machine.relays_lists, self._send)
+        self._request_ids = SharedRequestIds(
+            node, lambda: self._machine.relays_request_ids, self._send, self._has_backlog
+        )
 
     def listen(self) -> None:
         """Listen for a successor; retry after a transient error.
@@ -97,6 +102,7 @@
             self._listener.close()
             self._listener = None
         if self._channel is not None:
+            self._request_ids.flush()
             self._channel.close()
 
     def _accept(self) -> None:
@@ -149,6 +155,8 @@
                     self._resume_serving()
                 case ApplyEndpointList():
                     self._lists.apply(action.update)
+                case ApplyRequestIds():
+                    self._request_ids.apply(action.update)
                 case ApplyCommand():
                     self._apply_command(action.command.verb, action.command.server_id)
                 case Disconnect():
@@ -157,10 +165,14 @@
     def _send(self, message: Message, descriptors: Sequence[int] = ()) -> bool:
         return self._channel is not None and self._channel.send(message, descriptors)
 
+    def _has_backlog(self) -> bool:
+        return self._channel is not None and self._channel.has_backlog()
+
     def _disconnect(self) -> None:
         if self._channel is not None:
             self._channel.close()
             self._channel = None
+            self._request_ids.on_disconnect()
 
     def _send_welcome(self) -> None:
         node = self._node
@@ -171,6 +183,7 @@
             is_draining=node.server.lifecycle.draining,
             clock_offset_us=node.clock.offset,
             shares_lists=True,
+            shares_request_ids=True,
         )
         try:
             descriptors = node.server.listener.duplicate_descriptors()
@@ -188,6 +201,7 @@
         node = self._node
         node.server.hand_over(self._migrate_connection)
         node.pool.close_idle()
+        self._request_ids.send_all()
         self._send(self._take_over_message())
         # docs/operations.md quotes this line.  The client connections migrate as they become idle.
         log.info(
--- a/oakbridge/handover/state_machine.py
+++ b/oakbridge/handover/state_machine.py
@@ -13,6 +13,7 @@
 from oakbridge.handover.actions import (
     ApplyCommand,
     ApplyEndpointList,
+    ApplyRequestIds,
     BuildNode,
     Disconnect,
     DrainToSuccessor,
@@ -32,6 +33,7 @@
     Ready,
     RelayedCommand,
     RemainingLoad,
+    RequestIdUpdate,
     TakeOver,
     Welcome,
     wire_kind,
@@ -58,6 +60,7 @@
         self.state = PredecessorState.SERVING
         self.is_shutting_down = False
         self._successor_shares_lists = False
+        self._successor_shares_request_ids = False
 
     def receive(self, message: Message) -> list[PredecessorAction]:
         """Handle a message from the successor, or from a process that asks to become it."""
@@ -71,6 +74,8 @@
                 return [ApplyCommand(message)]
             case EndpointListUpdate() if self.relays_lists:
                 return [ApplyEndpointList(message)]
+            case RequestIdUpdate() if self.relays_request_ids:
+                return [ApplyRequestIds(message)]
             case _:
                 reason = f"{wire_kind(message)} is not expected now"
                 return [Send(Decline(reason)), *self.disconnected()]
@@ -81,6 +86,7 @@
             return [Send(Decline(reason)), Disconnect()]
         self.state = PredecessorState.SUCCESSOR_STARTING
         self._successor_shares_lists = bool(hello.shares_lists)
+        self._successor_shares_request_ids = bool(hello.shares_request_ids)
         return [SendWelcome()]
 
     def _reason_to_decline(self, hello: Hello) -> str | None:
@@ -114,6 +120,11 @@
         """Whether endpoint lists that one process reads have to be sent to the other."""
         return self.state is PredecessorState.DRAINING and self._successor_shares_lists
 
+    @property
+    def relays_request_ids(self) -> bool:
+        """Whether the ids of requests have to be sent to the successor."""
+        return self.state is PredecessorState.DRAINING and self._successor_shares_request_ids
+
 
 class SuccessorState(Enum):
     """The state of a new process, with or without a predecessor."""
@@ -132,10 +143,11 @@
         self.state = SuccessorState.CONNECTING
         self.has_predecessor = True  # assumed until there is none, or it disconnects
         self._predecessor_shares_lists = False
+        self._predecessor_shares_request_ids = False
 
     def connected(self) -> list[SuccessorAction]:
         """Handle that a connection to the predecessor is open."""
-        return [Send(Hello(self.node_name, shares_lists=True))]
+        return [Send(Hello(self.node_name, shares_lists=True, shares_request_ids=True))]
 
     def receive(self, message: Message) -> list[SuccessorAction]:
         """Handle a message from the predecessor; disconnect if it is a Decline or unexpected."""
@@ -143,6 +155,7 @@
             case Welcome() if self.state is SuccessorState.CONNECTING:
                 self.state = SuccessorState.BUILDING
                 self._predecessor_shares_lists = bool(message.shares_lists)
+                self._predecessor_shares_request_ids = bool(message.shares_request_ids)
                 return [BuildNode(message)]
             case TakeOver() if self.state is SuccessorState.TAKING_OVER:
                 self.state = SuccessorState.SERVING
@@ -153,6 +166,8 @@
                 return [ApplyCommand(message)]
             case EndpointListUpdate() if self.relays_lists:
                 return [ApplyEndpointList(message)]
+            case RequestIdUpdate() if self.relays_request_ids:
+                return [ApplyRequestIds(message)]
             case _:
                 return self.disconnected()
 
@@ -193,3 +208,9 @@
         """Whether endpoint lists that one process reads have to be sent to the other."""
         is_serving = self.state is SuccessorState.SERVING
         return is_serving and self.has_predecessor and self._predecessor_shares_lists
+
+    @property
+    def relays_request_ids(self) -> bool:
+        """Whether the ids of requests have to be sent to the predecessor, and come from it."""
+        is_taking_over = self.state in (SuccessorState.TAKING_OVER, SuccessorState.SERVING)
+        return is_taking_over and self.has_predecessor and self._predecessor_shares_request_ids
--- a/oakbridge/handover/successor.py
+++ b/oakbridge/handover/successor.py
@@ -12,6 +12,7 @@
 from oakbridge.handover.actions import (
     ApplyCommand,
     ApplyEndpointList,
+    ApplyRequestIds,
     BuildNode,
     Disconnect,
     ReserveForPredecessor,
@@ -31,6 +32,7 @@
     Welcome,
 )
 from oakbridge.handover.shared_lists import SharedLists
+from oakbridge.handover.shared_request_ids import SharedRequestIds
 from oakbridge.handover.state_machine import SuccessorState, SuccessorStateMachine
 from oakbridge.handover.unix_socket import connect
 from oakbridge.node.node import Node
@@ -62,6 +64,7 @@
         self._channel: Channel | None = None
         self._node: Node | None = None
         self._lists: SharedLists | None = None
+        self._request_ids: SharedRequestIds | None = None
         self._apply_command: Callable[[str, str], None] | None = None
         self._early_commands: list[RelayedCommand] = []  # received before attach()
         self._early_connections: list[socket.socket] = []  # received before serving
@@ -83,6 +86,9 @@
         """
         self._node = node
         self._lists = SharedLists(node, lambda: self._machine.relays_lists, self._send)
+        self._request_ids = SharedRequestIds(
+            node, lambda: self._machine.relays_request_ids, self._send, self._has_backlog
+        )
         self._apply_command = apply_command
         for command in self._early_commands:
             apply_command(command.verb, command.server_id)
@@ -101,6 +107,8 @@
     def close(self) -> None:
         """Close the connection to the predecessor."""
         if self._channel is not None:
+            if self._request_ids is not None:
+                self._request_ids.flush()
             self._channel.close()
 
     async def _wait_until(self, condition: Callable[[], bool]) -> None:
@@ -147,9 +155,8 @@
                 case ReserveForPredecessor():
                     load = action.load
                     self._reserve_for_predecessor(load, load.memory_bytes or 0)
-                case ApplyEndpointList():
-                    if self._lists is not None:
-                        self._lists.apply(action.update)
+                case ApplyEndpointList() | ApplyRequestIds():
+                    self._apply_update(action)
                 case ApplyCommand():
                     self._apply(action.command)
                 case Disconnect():
@@ -160,10 +167,15 @@
         if self._channel is not None:
             self._channel.send(message)
 
+    def _has_backlog(self) -> bool:
+        return self._channel is not None and self._channel.has_backlog()
+
     def _disconnect(self) -> None:
         if self._channel is not None:
             self._channel.close()
             self._channel = None
+            if self._request_ids is not None:
+                self._request_ids.on_disconnect()
             self._reserve_for_predecessor(RemainingLoad(attempts=0, connections=0), None)
 
     def _reserve_for_predecessor(self, load: RemainingLoad, memory_bytes: int | None) -> None:
@@ -171,6 +183,13 @@
             self._node.share_limits(load.connections, memory_bytes)
             self._node.post(PredecessorInFlight(load.attempts))
 
+    def _apply_update(self, action: ApplyEndpointList | ApplyRequestIds) -> None:
+        match action:
+            case ApplyEndpointList() if self._lists is not None:
+                self._lists.apply(action.update)
+            case ApplyRequestIds() if self._request_ids is not None:
+                self._request_ids.apply(action.update)
+
     def _apply(self, command: RelayedCommand) -> None:
         if self._apply_command is None:
             self._early_commands.append(command)
--- a/oakbridge/node/recent_ids.py
+++ b/oakbridge/node/recent_ids.py
@@ -12,16 +12,24 @@
     def __init__(self) -> None:
         self._forget_at: dict[bytes, int] = {}  # oldest first
 
-    def add(self, request_id: bytes, now: int) -> None:
-        """Remember an id."""
-        self._forget_at.pop(request_id, None)
-        self._forget_at[request_id] = now + RETENTION_US
+    def add(self, request_id: bytes, now: int, time_left: int = RETENTION_US) -> None:
+        """Remember an id for so many microseconds, or longer if it is remembered longer already."""
+        forget_at = max(now + min(time_left, RETENTION_US), self._forget_at.pop(request_id, now))
+        self._forget_at[request_id] = forget_at
         self._forget_old(now)
 
     def has(self, request_id: bytes, now: int) -> bool:
         """Return whether an id is remembered."""
         return self._forget_at.get(request_id, now) > now
 
+    def time_left(self, request_id: bytes, now: int) -> int:
+        """Return for how many microseconds an id is still remembered; 0 if it is not."""
+        return max(0, self._forget_at.get(request_id, now) - now)
+
+    def ids(self) -> list[bytes]:
+        """Return the remembered ids, oldest first."""
+        return list(self._forget_at)
+
     def _forget_old(self, now: int) -> None:
         while self._forget_at:
             oldest = next(iter(self._forget_at))
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -14,7 +14,7 @@
 from oakbridge.node.http_framing import Headers
 from oakbridge.node.invariants import Invariant, InvariantCounters
 from oakbridge.node.load_report import parse_load_report
-from oakbridge.node.recent_ids import RecentIds
+from oakbridge.node.request_ids import RequestIds
 from oakbridge.node.server_connection import ServerConnection
 from oakbridge.node.unserved_requests import UnservedRequests
 from oakbridge.policy.actions import (
@@ -71,8 +71,7 @@
         ``can_retry``: returns whether the balancer would retry a request, given its id.
         """
         self.requests: dict[int, ClientRequest] = {}
-        self.open_ids: set[bytes] = set()  # X-Request-IDs of ``requests``
-        self._recent_ids = RecentIds()  # of requests that are not idempotent
+        self.request_ids = RequestIds(clock.now)  # X-Request-IDs of all processes of the node
         self.served = 0  # responses since the start
         self.rejected = 0
         self.failed = 0
@@ -104,9 +103,7 @@
 
     def is_repeated(self, request_id: bytes) -> bool:
         """Return whether a request with this id is open, or may have run and must not run twice."""
-        if request_id in self.open_ids:
-            return True
-        return self._recent_ids.has(request_id, self._clock.now())
+        return self.request_ids.is_known(request_id)
 
     def handle_request(self, request: ClientRequest) -> None:
         """Hand a request to the balancer, which decides about it until its response."""
@@ -129,7 +126,9 @@
             return
         request.id = next(self._ids)
         self.requests[request.id] = request
-        self.open_ids.add(request.header_values[b"x-request-id"])
+        self.request_ids.add_open(
+            request.header_values[b"x-request-id"], is_idempotent=request.is_idempotent
+        )
         time_left = self._response_time_left(request, now)
         if request.is_incomplete():
             self._set_upload_timer(request, now)
@@ -338,7 +337,7 @@
         request = forwarded.request
         request.attempt = None
         if end.result not in NEVER_RAN and not request.is_idempotent:
-            self._recent_ids.add(request.header_values[b"x-request-id"], self._clock.now())
+            self.request_ids.add_recent(request.header_values[b"x-request-id"])
         if request.response_streamed:
             self._end_streamed(forwarded, end)
             return
@@ -429,7 +428,7 @@
         """Remove a finished request, unless its attempt is in flight and may be cancelled yet."""
         self._cancel_overdue_timer(request)
         if request.attempt is None and self.requests.pop(request.id, None) is not None:
-            self.open_ids.discard(request.header_values[b"x-request-id"])
+            self.request_ids.remove_open(request.header_values[b"x-request-id"])
 
     @staticmethod
     def _cancel_overdue_timer(request: ClientRequest) -> None:
--- a/tests/formats/test_handover.py
+++ b/tests/formats/test_handover.py
@@ -17,6 +17,7 @@
     Ready,
     RelayedCommand,
     RemainingLoad,
+    RequestIdUpdate,
     TakeOver,
     Welcome,
     decode,
@@ -76,6 +77,12 @@
     "list": EndpointListUpdate(
         endpoint_list={"index": 41, "snapshot": True, "endpoints": ENDPOINTS}, list_age_us=250_000
     ),
+    "ids": RequestIdUpdate(
+        opened=["9b1f03aa"],
+        opened_idempotent=["9b1f03ab"],
+        closed=["9b1f03ac", "9b1f03ad"],
+        remembered={"9b1f03ac": 29_500_000},
+    ),
     "call": RelayedCommand(verb="OFFLINE", server_id="s-1"),
     "still": RemainingLoad(attempts=2, connections=9),
     "caller": ClientConnection(),
--- /dev/null
+++ b/tests/handover/test_request_ids.py
@@ -0,0 +1,104 @@
+"""Ids of requests belong to the node: none is served again by its other process."""
+
+import signal
+
+import pytest
+from peers import ScriptedServer, reply, run, until, with_timeout
+from processes import NodeProcesses
+
+
+class HoldingServer(ScriptedServer):
+    """Holds the responses to requests for /held back until it is released."""
+
+    def __init__(self) -> None:
+        super().__init__(lambda r: self._respond_later() if r.url == "/held" else reply(200))
+
+    async def _respond_later(self) -> bytes:
+        await self.release.wait()
+        return reply(200, b"held")
+
+    def runs(self) -> list[str]:
+        """Return the ids of the requests that arrived since the last call."""
+        return [
+            self.requests.get_nowait().headers["x-request-id"] for _ in range(self.requests.qsize())
+        ]
+
+
+async def send_book(node, request_id: str, url: str = "/api"):
+    """Send an unsafe request with this id on a new connection; return its client."""
+    client = await node.connect_client()
+    client.send("book", "POST", url, b"x", X_Request_ID=request_id)
+    return client
+
+
+async def status_of_book(node, request_id: str) -> int:
+    return (await (await send_book(node, request_id)).read_response())[0]
+
+
+# Guards against an id of an open request that runs again at the other process of an upgrade.
+def test_id_that_is_open_or_has_run_at_predecessor_is_rejected_by_successor(tmp_path):
+    async def scenario():
+        async with HoldingServer() as server, NodeProcesses(tmp_path, server) as node:
+            predecessor = await node.start_and_wait()
+            assert await status_of_book(node, "served-before") == 200
+            held = await send_book(node, "held-1", "/held")
+            await until(lambda: server.requests.qsize() == 2)
+            await node.start_and_wait()
+            predecessor.send_signal(signal.SIGTERM)
+            assert await status_of_book(node, "served-before") == 409
+            assert await status_of_book(node, "held-1") == 409
+            server.release.set()
+            assert (await held.read_response())[0] == 200
+            assert await with_timeout(predecessor.wait()) == 0
+            assert await status_of_book(node, "held-1") == 409
+            assert server.runs() == ["served-before", "held-1"]
+            assert await status_of_book(node, "new") == 200
+
+    run(scenario())
+
+
+# Guards against the same in the other direction: the predecessor finishes what its clients have sent.
+def test_id_that_has_run_at_successor_is_rejected_by_predecessor(tmp_path):
+    async def scenario():
+        async with HoldingServer() as server, NodeProcesses(tmp_path, server) as node:
+            await node.start_and_wait()
+            held = await send_book(node, "held-1", "/held")
+            await until(lambda: server.requests.qsize() == 1)
+            # This connection stays at the predecessor, as the request behind the held one was read.
+            held.send("book", "POST", body=b"x", X_Request_ID="twice")
+            await node.start_and_wait()
+            assert await status_of_book(node, "twice") == 200
+            server.release.set()
+            assert (await held.read_response())[0] == 200
+            assert (await held.read_response())[0] == 409
+            assert server.runs() == ["held-1", "twice"]
+
+    run(scenario())
+
+
+# Guards against ids that are lost with a successor that crashes, as its predecessor serves on.
+@pytest.mark.parametrize("is_open", [True, False])
+def test_id_that_may_have_run_at_crashed_successor_is_rejected_by_predecessor(tmp_path, is_open):
+    async def scenario():
+        async with HoldingServer() as server, NodeProcesses(tmp_path, server) as node:
+            await node.start_and_wait()
+            successor = await node.start_and_wait()
+            sent = await send_book(node, "sent-1", "/held" if is_open else "/api")
+            await until(lambda: server.requests.qsize() == 1)
+            look = await node.connect_client()
+            look.send(url="/held", X_Request_ID="safe-1")
+            await until(lambda: server.requests.qsize() == 2)
+            if not is_open:
+                assert (await sent.read_response())[0] == 200
+            successor.kill()
+            assert await with_timeout(successor.wait())
+            await until(lambda: "accepting connections again" in node.log(0))
+            assert await status_of_book(node, "sent-1") == 409
+            again = await node.connect_client()
+            again.send(
+                X_Request_ID="safe-1"
+            )  # it may run twice, and its client has to get a response
+            assert (await again.read_response())[0] == 200
+            assert server.runs() == ["sent-1", "safe-1", "safe-1"]
+
+    run(scenario())
--- a/tests/handover/test_state_machine.py
+++ b/tests/handover/test_state_machine.py
@@ -12,6 +12,7 @@
 from oakbridge.handover.actions import (
     ApplyCommand,
     ApplyEndpointList,
+    ApplyRequestIds,
     BuildNode,
     Disconnect,
     DrainToSuccessor,
@@ -28,6 +29,7 @@
     Ready,
     RelayedCommand,
     RemainingLoad,
+    RequestIdUpdate,
     TakeOver,
     Welcome,
 )
@@ -44,7 +46,7 @@
 def test_hand_over_without_failures():
     predecessor, successor = PredecessorStateMachine("n"), SuccessorStateMachine("n")
     [hello] = successor.connected()
-    assert hello == Send(Hello("n", shares_lists=True))
+    assert hello == Send(Hello("n", shares_lists=True, shares_request_ids=True))
     assert predecessor.receive(hello.message) == [SendWelcome()]
     assert successor.receive(WELCOME) == [BuildNode(WELCOME)]
     assert successor.node_built() == [Send(Ready())]
@@ -89,6 +91,34 @@
     assert not successor.relays_lists
 
 
+@pytest.mark.parametrize("predecessor_shares", [True, None])
+@pytest.mark.parametrize("successor_shares", [True, None])
+def test_request_ids_are_relayed_if_release_of_other_process_accepts_them(
+    predecessor_shares, successor_shares
+):
+    """An earlier release would break the hand-over off at a message that it does not know."""
+    update = RequestIdUpdate(["a"], [], [], {})
+    predecessor, successor = PredecessorStateMachine("n"), SuccessorStateMachine("n")
+    successor.connected()
+    predecessor.receive(Hello("n", shares_request_ids=successor_shares))
+    successor.receive(replace(WELCOME, shares_request_ids=predecessor_shares))
+    assert not (predecessor.relays_request_ids)
+    assert not (successor.relays_request_ids)
+    successor.node_built()
+    predecessor.receive(Ready())
+    assert predecessor.relays_request_ids == bool(successor_shares)
+    assert successor.relays_request_ids == bool(predecessor_shares)
+    if predecessor_shares:  # the first ids come before TakeOver
+        assert successor.receive(update) == [ApplyRequestIds(update)]
+    successor.receive(TakeOver({}))
+    if predecessor.relays_request_ids:
+        assert predecessor.receive(update) == [ApplyRequestIds(update)]
+    predecessor.disconnected()
+    successor.disconnected()
+    assert not (predecessor.relays_request_ids)
+    assert not (successor.relays_request_ids)
+
+
 def test_wrong_name_second_successor_and_shutdown_are_declined():
     predecessor = PredecessorStateMachine("n")
     assert predecessor.receive(Hello("m")) == [Send(Decline("this is n")), Disconnect()]
@@ -134,6 +164,7 @@
         RemainingLoad(attempts=1, connections=1),
         RelayedCommand("JOIN", ""),
         EndpointListUpdate({}, None),
+        RequestIdUpdate([], [], [], {}),
     ]
 )
 SUCCESSOR_EVENTS = st.sampled_from(["timed_out", "disconnected", "node_built"])
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -239,7 +239,7 @@
             resending = await node.client()
             resending.send(X_Request_ID="same")
             assert (await resending.read_response())[0] == 200
-            assert not node.node.forwarder.open_ids
+            assert not node.node.forwarder.request_ids.open_count()
 
     run(scenario())
 
@@ -260,7 +260,7 @@
             if respond:
                 assert (await first.read_response())[0] == 200
             first.close()
-            await until(lambda: not node.node.forwarder.open_ids)
+            await until(lambda: not node.node.forwarder.request_ids.open_count())
             again = await node.client()
             again.send("book", "POST", X_Request_ID="same", **key)
             assert (await again.read_response())[0] == 409
@@ -453,7 +453,7 @@
     await until(lambda: not node.node.forwarder.requests)
     balancer = node.node.balancer
     return (
-        not node.node.forwarder.open_ids
+        not node.node.forwarder.request_ids.open_count()
         and not balancer.requests
         and balancer.admission.in_flight == 0
     )
