Requests: what was given up is reset, and a repeat arrives before its key is forgotten

What callers saw: a keyed request that had run was sent again to a slow server, which had its last byte after all servers had forgotten the key, and ran a second time.

Cause: the window for repeats was compared with the first byte alone, and a connection was closed in the regular way: what its socket had taken was still sent after the close.

Change: whether a request may have run is decided by its last byte leaving the machine (SIOCOUTQNSD); a connection whose server lacks acknowledged bytes (SIOCOUTQ) is reset when it closes, and not kept for another request. A repeat starts only while its body can be read at 64 kB a second before the key is forgotten, and is broken off then. A client that leaves takes along a request that the kernel still has.

--- a/oakbridge/node/attempt.py
+++ b/oakbridge/node/attempt.py
@@ -62,6 +62,7 @@
     # Called once the last byte of ``streamed_body`` is written.
     on_request_sent: Callable[[], None] | None = None
     start_by: int | None = None  # deadline for writing the first byte
+    deliver_by: int | None = None  # deadline for the server to have the last byte
     # Until when the client waits for a response that is not long; 0: until ``deadline``.
     client_deadline: int = 0
     # Returns whether the request would be retried if this attempt failed now.
@@ -76,9 +77,9 @@
         """Use the attempt's own deadline where the client has no later one."""
         self.client_deadline = max(self.client_deadline, self.deadline)
 
-    def is_written(self) -> bool:
-        """Return whether the last byte was written, so that the server may run the request."""
-        return self.connection is not None and self.connection.request_written()
+    def may_have_run(self) -> bool:
+        """Return whether the last byte has left this machine, so that the server may have it."""
+        return self.connection is not None and self.connection.may_have_run()
 
     def may_get_long_response(self) -> bool:
         """Return whether a response has begun that may be longer than would be buffered."""
--- a/oakbridge/node/connection_pool.py
+++ b/oakbridge/node/connection_pool.py
@@ -214,7 +214,7 @@
         self._abort(attempt, AttemptResult.CONNECT_FAILED)
 
     def withdraw(self, attempt: Attempt) -> None:
-        """End an attempt whose last byte was not written, for a reason other than the server."""
+        """End an attempt that has not run, for a reason other than the server."""
         self._abort(attempt, AttemptResult.NOT_SENT)
 
     @staticmethod
@@ -242,9 +242,9 @@
     def expire(attempt: Attempt) -> None:
         """End an attempt at its deadline; without its last byte, the request can't have run."""
         if not attempt.ended:
-            written = attempt.connection is not None and attempt.connection.abort()
+            may_have_run = attempt.connection is not None and attempt.connection.abort()
             attempt.finish(
-                AttemptEnd(AttemptResult.TIMEOUT if written else AttemptResult.CONNECT_FAILED)
+                AttemptEnd(AttemptResult.TIMEOUT if may_have_run else AttemptResult.CONNECT_FAILED)
             )
 
     # ---- idle connections
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -34,6 +34,7 @@
     RequestReceived,
     TimeLeftChanged,
 )
+from oakbridge.policy.retry_safety import transfer_time
 from oakbridge.policy.settings import Idempotency, ReportSource, Settings
 
 # The 4xx statuses that don't mean that the request is invalid, nor that it has not run.
@@ -144,6 +145,7 @@
                 request.header_text(b"x-route-key"),
                 _cost(request),
                 streamed=request.streamed_body is not None,
+                body_bytes=len(request.body),
             ),
             now,
         )
@@ -212,9 +214,9 @@
         return name if name in self._tenants else ""
 
     def on_client_disconnected(self, request: ClientRequest) -> None:
-        """Drop a request whose client has disconnected; withdraw an attempt that is not written."""
+        """Drop a request whose client has disconnected; withdraw it if its server has not got it."""
         self._forget(request)
-        if request.attempt is not None and not request.attempt.is_written():
+        if request.attempt is not None and not request.attempt.may_have_run():
             self._pool.withdraw(request.attempt)
         if request.id:
             self._post(ClientDisconnected(request.id))
@@ -261,6 +263,7 @@
         number, now = request.attempt_count, self._clock.now()
         request.attempt_count = number + 1
         forwarded = ForwardedAttempt(self, request, number, action.server, now)
+        start_by = decided_at + action.start_within if action.start_within else None
         request.attempt = Attempt(
             server=action.server,
             render=forwarded.render,
@@ -270,7 +273,8 @@
             on_response_start=forwarded.on_response_start,
             streamed_body=request.streamed_body,
             on_request_sent=None if request.streamed_body is None else forwarded.on_request_sent,
-            start_by=decided_at + action.start_within if action.start_within else None,
+            start_by=start_by,
+            deliver_by=None if start_by is None else start_by + transfer_time(len(request.body)),
             client_deadline=now + self._response_time_left(request, now),
             can_retry=forwarded.can_retry,
             is_wanted=forwarded.is_wanted,
--- a/oakbridge/node/server_connection.py
+++ b/oakbridge/node/server_connection.py
@@ -19,6 +19,11 @@
 from oakbridge.node.memory_account import CONNECTION_BYTES, MemoryShare
 from oakbridge.node.response_parser import ResponseError, ResponseParser
 from oakbridge.node.response_timers import MIN_TIME_FOR_RETRY_US, ResponseTimers
+from oakbridge.node.socket_state import (
+    reset_on_close,
+    unacknowledged_kernel_bytes,
+    unsent_kernel_bytes,
+)
 from oakbridge.node.system_errors import is_local_connect_error, is_resource_error
 from oakbridge.node.unsent_request import UnsentRequest
 from oakbridge.policy.events import AttemptResult
@@ -29,6 +34,7 @@
 log = logging.getLogger(__name__)
 
 READ_BYTES = 64 * 1024
+ACKNOWLEDGEMENT_DELAY_US = 50_000  # Linux delays one by 40 ms
 # The kernel goes on connecting, also after a connect() that a signal interrupted.
 _CONNECTING = (errno.EINPROGRESS, errno.EINTR)
 
@@ -42,6 +48,7 @@
 
     __slots__ = (
         "_awaits_writable",
+        "_delivery_timer",
         "_dial_timer",
         "_has_served",
         "_memory",
@@ -76,6 +83,7 @@
         self._unsent = UnsentRequest()
         self.paused = False  # the buffers towards the client are full
         self._dial_timer: Timer | None = None
+        self._delivery_timer: Timer | None = None  # until when the server must have the request
         self._response_timers = ResponseTimers(pool.clock, self)
         self._response = ResponseParser(self._open_sink, pool.memory)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -147,6 +155,10 @@
         self._unsent.start(request, attempt.streamed_body)
         if attempt.streamed_body is not None:
             attempt.streamed_body.attach(self._on_body_available)
+        if attempt.deliver_by is not None:
+            self._delivery_timer = self._pool.clock.call_at(
+                attempt.deliver_by, self._on_delivery_due
+            )
         self._write()
 
     def _on_body_available(self) -> None:
@@ -154,10 +166,36 @@
         if self.connected and not self.closed and not self._awaits_writable:
             self._run_guarded(self._write)
 
+    def _on_delivery_due(self) -> None:
+        """Break the request off if its last byte has not left this machine."""
+        if self.attempt is None:
+            return
+        if not self.may_have_run():
+            self._fail()
+            return
+        due = self._pool.clock.now() + ACKNOWLEDGEMENT_DELAY_US
+        self._delivery_timer = self._pool.clock.call_at(due, self._on_acknowledgement_due)
+
+    def _on_acknowledgement_due(self) -> None:
+        """Break the request off if its last byte has not arrived: it may be sent again later."""
+        if self.attempt is not None and not self.request_delivered():
+            self._fail()
+
     def request_written(self) -> bool:
-        """Return whether the socket took the request's last byte, so that the server may run it."""
+        """Return whether the socket took the request's last byte."""
         return self._unsent.is_written()
 
+    def may_have_run(self) -> bool:
+        """Return whether the request's last byte has left this machine.
+
+        What the socket took and has not sent is discarded when the connection is closed.
+        """
+        return self._unsent.is_written() and not unsent_kernel_bytes(self._sock)
+
+    def request_delivered(self) -> bool:
+        """Return whether the server's machine has acknowledged the request's last byte."""
+        return self._unsent.is_written() and not unacknowledged_kernel_bytes(self._sock)
+
     def _write(self) -> None:
         """Write as much of the request as there is and as the socket takes."""
         unsent = self._unsent
@@ -322,6 +360,7 @@
             self._fail()  # the request is incomplete, so this is not its response
             return
         self._response_timers.stop()
+        self._stop_delivery_timer()
         attempt, self.attempt = self.attempt, None
         sink = response.detach_sink()
         if sink is not None:
@@ -339,7 +378,7 @@
         return (
             self._response.reusable
             and self.may_be_reused
-            and self.request_written()
+            and self.request_delivered()
             and self._has_served
             and not self.closed
         )
@@ -377,6 +416,11 @@
             self._dial_timer.cancel()
             self._dial_timer = None
 
+    def _stop_delivery_timer(self) -> None:
+        if self._delivery_timer is not None:
+            self._delivery_timer.cancel()
+            self._delivery_timer = None
+
     def _run_guarded(self, callback: Callable[[], None]) -> None:
         """Run a callback of the loop; an exception closes only this connection."""
         try:
@@ -386,34 +430,41 @@
             self._fail()
 
     def _fail(self) -> None:
-        """Close a broken connection; its request may have run if the last byte was written."""
+        """Close a broken connection; its request may have run if the last byte was sent."""
         if self.closed:
             return
         attempt, self.attempt = self.attempt, None
-        written = self.request_written()
+        may_have_run = self.may_have_run()
         sink = self._response.detach_sink()
         self.close()
         if sink is not None:
             sink.abort_response()
         if attempt is not None:
             attempt.finish(
-                AttemptEnd(AttemptResult.RESET if written else AttemptResult.CONNECT_FAILED)
+                AttemptEnd(AttemptResult.RESET if may_have_run else AttemptResult.CONNECT_FAILED)
             )
 
     def abort(self) -> bool:
-        """Close at once, without ending the attempt; return whether its last byte was written."""
-        written = self.request_written()
+        """Close at once, without ending the attempt; return whether its request may have run."""
+        may_have_run = self.may_have_run()
         self.attempt = None
         self._response.detach_sink()
         self.close()
-        return written
+        return may_have_run
 
     def close(self) -> None:
-        """Close the socket now, not in the loop's next iteration."""
+        """Close the socket now, not in the loop's next iteration.
+
+        The connection is reset if its server does not have all that was written: a regular close
+        would go on sending it, and the server would run a request that has been given up.
+        """
         if self.closed:
             return
         self.closed = True
+        if unacknowledged_kernel_bytes(self._sock):
+            reset_on_close(self._sock)
         self._stop_dial_timer()
+        self._stop_delivery_timer()
         self._response_timers.release()
         self._pool.loop.remove_reader(self._sock)
         self._stop_awaiting_writable()
--- a/oakbridge/node/socket_state.py
+++ b/oakbridge/node/socket_state.py
@@ -15,6 +15,7 @@
 _TCP_ESTABLISHED = b"\x01"  # the state in TCP_INFO while neither side has closed
 _LAST_DATA_RECEIVED = struct.Struct("52xI")  # tcpi_last_data_recv in TCP_INFO, in milliseconds
 _US_PER_MS = 1000
+_SIOCOUTQNSD = 0x894B  # Linux: the bytes of a TCP socket that were not sent yet, not even once
 _LINGER_0_S = struct.pack("ii", 1, 0)  # SO_LINGER: on, with a timeout of 0 s
 
 
@@ -31,8 +32,22 @@
 
 def unread_bytes(sock: socket.socket) -> int:
     """Return how many bytes have arrived that the event loop has not read yet; 0 if unknown."""
+    return _queued_bytes(sock, termios.FIONREAD)
+
+
+def unsent_kernel_bytes(sock: socket.socket) -> int:
+    """Return how many bytes the kernel has taken and not sent to the peer; 0 if unknown."""
+    return _queued_bytes(sock, _SIOCOUTQNSD)
+
+
+def unacknowledged_kernel_bytes(sock: socket.socket) -> int:
+    """Return how many bytes the kernel has taken that the peer has not acknowledged; 0: unknown."""
+    return _queued_bytes(sock, termios.TIOCOUTQ)
+
+
+def _queued_bytes(sock: socket.socket, request: int) -> int:
     try:
-        return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0" * 4))[0])
+        return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), request, b"\0" * 4))[0])
     except (OSError, ValueError):  # the socket is closed
         return 0
 
@@ -71,9 +86,5 @@
     if transport is None:
         return 0
     buffered = transport.get_write_buffer_size()
-    try:
-        sock = transport.get_extra_info("socket")
-        in_kernel = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4)
-    except (OSError, ValueError, AttributeError):  # the transport has no socket, or a closed one
-        return buffered
-    return buffered + int(struct.unpack("i", in_kernel)[0])
+    sock = transport.get_extra_info("socket")
+    return buffered if sock is None else buffered + unacknowledged_kernel_bytes(sock)
--- a/oakbridge/policy/balancer.py
+++ b/oakbridge/policy/balancer.py
@@ -180,7 +180,9 @@
             unknown = UnservedReason.UNKNOWN_CLASS
             self._actions.append(actions.FailRequest(event.request_id, unknown))
             return
-        request = OpenRequest(event.request_id, klass, event.tenant, now, event.streamed)
+        request = OpenRequest(
+            event.request_id, klass, event.tenant, now, event.streamed, event.body_bytes
+        )
         self.requests[request.id] = request
         self._review(now)
         self.times.set(request, event.time_left, now)
--- a/oakbridge/policy/events.py
+++ b/oakbridge/policy/events.py
@@ -142,6 +142,7 @@
     write: bool = False
     # The body is forwarded as it arrives: there is one attempt, and TimeLeftChanged sets the deadline.
     streamed: bool = False
+    body_bytes: int = 0  # of a body that is kept for a retry
 
 
 @dataclass(slots=True)
--- a/oakbridge/policy/records.py
+++ b/oakbridge/policy/records.py
@@ -35,6 +35,7 @@
     tenant: str
     arrived_at: int
     is_streamed: bool  # its body is not kept for a retry, so it has one attempt only
+    body_bytes: int = 0  # of a body that is kept for a retry
     expires_at: int = 0  # deadline after which a response is useless
     objective_at: int = 0  # time after which a response misses the latency objective
     attempts: list[Attempt] = field(default_factory=list)
--- a/oakbridge/policy/retry_safety.py
+++ b/oakbridge/policy/retry_safety.py
@@ -10,6 +10,13 @@
 # of the time for which they remember the key.
 MARGIN_TICKS = 4
 MARGIN_DIVISOR = 20  # a twentieth
+MIN_BODY_BYTES_PER_S = 64_000  # the lowest rate at which a server may read a body
+_US_PER_S = 1_000_000
+
+
+def transfer_time(body_bytes: int) -> int:
+    """Return how long a server may take to read a body, in microseconds."""
+    return body_bytes * _US_PER_S // MIN_BODY_BYTES_PER_S
 
 
 @dataclass(eq=False)
@@ -44,22 +51,26 @@
         if not ran or not request.has_key:
             return not ran
         # With a key, only servers that drop duplicates may be used, while they remember the key.
-        if now >= self.deduplicated_until(request, ran[0]):
+        if now >= self.latest_start(request, ran[0]):
             return False
         if server is None or klass.dedup_scope == "all":
             return True
         zone, cell = ran[0].zone, ran[0].cell
         return server.zone == zone if klass.dedup_scope == "zone" else server.cell == cell
 
-    def deduplicated_until(self, request: OpenRequest, first: Attempt) -> int:
-        """Return the deadline for a retry by key to reach a server, given the first attempt."""
+    def latest_start(self, request: OpenRequest, first: Attempt) -> int:
+        """Return the deadline for the start of a retry by key, given the first attempt.
+
+        A server runs it once it has read the whole body, and must remember the key then.
+        """
         window = request.klass.dedup_window
-        return first.sent_at + window - MARGIN_TICKS * self.settings.tick - window // MARGIN_DIVISOR
+        margin = MARGIN_TICKS * self.settings.tick + window // MARGIN_DIVISOR
+        return first.sent_at + window - margin - transfer_time(request.body_bytes)
 
     def start_within(self, request: OpenRequest, now: int) -> int:
         """Return the time within which a retry by key must start, in microseconds; 0: no limit."""
         ran = self.may_have_run(request) if request.has_key else []
-        return max(1, self.deduplicated_until(request, ran[0]) - now) if ran else 0
+        return max(1, self.latest_start(request, ran[0]) - now) if ran else 0
 
     def allows_rejection(self, request: OpenRequest) -> bool:
         """Whether the request may be rejected, which tells the client that it may safely retry."""
