Hand-over: a process that carries on after a crash is found by the next new process

What callers saw: a server that operators had taken out got requests after an upgrade whose first new process crashed.

Cause: a process that has taken over replaces the socket file at which a successor asks. When it died, the old process resumed without a file, and the next process started as if there were none: without servers taken out, LEAVE, lists, ids and learned state.

Change: a process that resumes listens at the path anew, unless its own file is there or another process answers at it; then it looks again every 0.2 s.

The new test of tests/handover/test_upgrade.py fails on the parent with SIGKILL and SIGTERM, and passes; tests/handover: 73 passed.

--- a/oakbridge/handover/predecessor.py
+++ b/oakbridge/handover/predecessor.py
@@ -37,7 +37,7 @@
     PredecessorState,
     PredecessorStateMachine,
 )
-from oakbridge.handover.unix_socket import UnixListener
+from oakbridge.handover.unix_socket import UnixListener, is_listening
 from oakbridge.node.accepting import ACCEPT_RETRY_US, AcceptStatus
 from oakbridge.node.discovery import DiscoverySource
 from oakbridge.node.node import Node
@@ -95,15 +95,34 @@
 
     def close(self) -> None:
         """Stop listening, and close the channel to the successor."""
+        self._stop_listening()
+        if self._channel is not None:
+            self._request_ids.flush()
+            self._channel.close()
+
+    def _stop_listening(self) -> None:
         if self._listen_timer is not None:
             self._listen_timer.cancel()
+            self._listen_timer = None
         if self._listener is not None:
             self._loop.remove_reader(self._listener)
             self._listener.close()
             self._listener = None
-        if self._channel is not None:
-            self._request_ids.flush()
-            self._channel.close()
+
+    def _listen_again(self) -> None:
+        """Listen for another successor, as the one that listened in this process's place has gone.
+
+        If it is alive and has only lost the connection, it keeps its place until it ends.
+        """
+        if self._listener is None or self._listener.owns_path():
+            return
+        if self._machine.state is not PredecessorState.SERVING:
+            return
+        if is_listening(self._path):
+            self._listen_timer = self._loop.call_later(LISTEN_RETRY_S, self._listen_again)
+            return
+        self._stop_listening()
+        self.listen()
 
     def _accept(self) -> None:
         assert self._listener is not None
@@ -244,3 +263,4 @@
         log.warning("successor disconnected: accepting connections again")
         self._node.balancer.slow_start.is_handed_over = False
         self._node.server.undo_hand_over()
+        self._listen_again()
--- a/oakbridge/handover/unix_socket.py
+++ b/oakbridge/handover/unix_socket.py
@@ -63,14 +63,31 @@
             accepted.connection.setblocking(False)
         return accepted
 
+    def owns_path(self) -> bool:
+        """Return whether the file is still that of this socket."""
+        try:
+            return self._path.stat().st_ino == self._inode
+        except OSError:
+            return False
+
     def close(self) -> None:
         """Stop listening, and remove the file unless another process has replaced it."""
         self._sock.close()
         with contextlib.suppress(OSError):
-            if self._path.stat().st_ino == self._inode:
+            if self.owns_path():
                 self._path.unlink()
 
 
+def is_listening(path: Path) -> bool:
+    """Return whether a process listens at this path; False, too, if that can't be told."""
+    try:
+        with _unix_socket() as sock:
+            _connect(sock, path)
+    except OSError:
+        return False
+    return True
+
+
 def connect(path: Path) -> socket.socket | None:
     """Connect to the process that listens at this path; None if no process listens.
 
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -178,6 +178,42 @@
     run(scenario())
 
 
+# Guards against a node that forgets what operators said if its first new process crashes.
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+def test_upgrade_after_a_successor_that_ended_takes_over_from_the_first_process(tmp_path, number):
+    async def scenario():
+        again = "accepting connections again"
+        async with (
+            ScriptedServer(lambda _: reply(200)) as first,
+            ScriptedServer(lambda _: reply(200)) as second,
+            NodeProcesses(tmp_path, first, second) as node,
+        ):
+            predecessor = await node.start_and_wait()
+            assert (await node.send_command("OFFLINE s-0")).startswith("YES")
+            for process_number in (1, 2):
+                successor = await node.start_and_wait()
+                assert "taken over" in node.log()
+                assert (await node.send_command("OFFLINE s-0")).startswith("YES")
+                client = await node.connect_client()
+                client.send("book", "POST", body=b"x", X_Request_ID=f"ran-{process_number}")
+                assert (await client.read_response())[0] == 200
+                successor.send_signal(number)
+                await with_timeout(successor.wait())
+                await until(lambda n=process_number: node.log(0).count(again) == n)
+            await node.start_and_wait()
+            assert "taken over" in node.log()
+            predecessor.send_signal(signal.SIGTERM)
+            assert await with_timeout(predecessor.wait()) == 0
+            assert "1 held out" in await node.send_command("HEALTH")
+            for request_id, status in (("ran-1", 409), ("ran-2", 409), ("new", 200)):
+                client = await node.connect_client()
+                client.send("book", "POST", body=b"x", X_Request_ID=request_id)
+                assert (await client.read_response())[0] == status
+            assert first.requests.empty()
+
+    run(scenario())
+
+
 def test_successor_serves_without_predecessor_that_is_frozen(tmp_path):
     """Guards against a successor that waits for a frozen predecessor.
 
