Responses: what may be long is passed on before the balancer gives its request up

After a long body, whose class has less time than the client, a long response whose server paused over the class's deadline was failed.

Cause: the response was passed on shortly before the attempt's deadline, which is the client's time there, while the balancer ended the request at the class's.

Change: the time at which the balancer gives a request up is asked for, and the earlier of the two counts.

--- a/oakbridge/node/attempt.py
+++ b/oakbridge/node/attempt.py
@@ -65,6 +65,8 @@
     deliver_by: int | None = None  # deadline for the server to have the last byte
     # Until when the client waits for a response that is not long; 0: until ``deadline``.
     client_deadline: int = 0
+    # Returns when the balancer will give the request up; None: it does not know the request.
+    given_up_at: Callable[[], int | None] = field(default=lambda: None)
     # Returns whether the request would be retried if this attempt failed now.
     can_retry: Callable[[], bool] = field(default=lambda: False)
     # Returns whether the client still waits; called after a dial, before the first byte is written.
--- a/oakbridge/node/dispatcher.py
+++ b/oakbridge/node/dispatcher.py
@@ -86,6 +86,11 @@
 
     # ---- events
 
+    def given_up_at(self, request_id: int) -> int | None:
+        """Return when the balancer will give a request up; None: it does not know the request."""
+        request = self.balancer.requests.get(request_id)
+        return None if request is None else request.expires_at
+
     def can_retry(self, request_id: int) -> bool:
         """Return whether the balancer would retry a request if its attempt in flight failed now."""
         balancer, now = self.balancer, self._clock.now()
--- a/oakbridge/node/node.py
+++ b/oakbridge/node/node.py
@@ -88,7 +88,7 @@
             self.endpoints,
             self.dispatcher.post,
             self.ids,
-            self.dispatcher.can_retry,
+            self.dispatcher,
         )
         self.dispatcher.attach(self.forwarder, self.source)
         self.server = self._make_server(loop, listening or ListenOptions())
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Protocol
 
 from oakbridge.node.attempt import Attempt, AttemptEnd, ResponseSink
@@ -54,6 +54,16 @@
         """``as_of``: when the ``time_left`` of the event was measured."""
 
 
+class RequestOutlook(Protocol):
+    """Tells what the balancer will do with a request, given its id."""
+
+    def given_up_at(self, request_id: int) -> int | None:
+        """Return when it will give the request up; None: it does not know the request."""
+
+    def can_retry(self, request_id: int) -> bool:
+        """Return whether it would retry the request if its attempt in flight failed now."""
+
+
 class RequestForwarder:
     """All requests that arrived over HTTP and are not finished.  Times are in microseconds."""
 
@@ -65,11 +75,11 @@
         endpoints: EndpointUpdates,
         post: EventSink,
         ids: Iterator[int],
-        can_retry: Callable[[int], bool],
+        outlook: RequestOutlook,
     ) -> None:
         """``post``: hands an event to the balancer; ``ids``: request ids, shared by all fronts.
 
-        ``can_retry``: returns whether the balancer would retry a request, given its id.
+        ``outlook``: tells what the balancer will do with a request.
         """
         self.requests: dict[int, ClientRequest] = {}
         self.request_ids = RequestIds(clock.now)  # X-Request-IDs of all processes of the node
@@ -83,7 +93,7 @@
         self._endpoints = endpoints
         self._post = post
         self._ids = ids
-        self._can_retry = can_retry
+        self._outlook = outlook
         self.configure(settings)
 
     def configure(self, settings: Settings) -> None:
@@ -276,14 +286,19 @@
             start_by=start_by,
             deliver_by=None if start_by is None else start_by + transfer_time(len(request.body)),
             client_deadline=now + self._response_time_left(request, now),
+            given_up_at=forwarded.given_up_at,
             can_retry=forwarded.can_retry,
             is_wanted=forwarded.is_wanted,
         )
         self._pool.send(request.attempt)
 
+    def given_up_at(self, request: ClientRequest) -> int | None:
+        """Return when the balancer will give a request up; None: it does not know the request."""
+        return self._outlook.given_up_at(request.id)
+
     def can_retry(self, request: ClientRequest) -> bool:
         """Return whether a request would be retried if its attempt failed now."""
-        return self._can_retry(request.id)
+        return self._outlook.can_retry(request.id)
 
     def _post_unsent_end(self, request: ClientRequest | None, action: SendAttempt) -> None:
         """Post the end of an attempt that was never sent: the balancer expects one for each."""
--- a/oakbridge/node/response_timers.py
+++ b/oakbridge/node/response_timers.py
@@ -5,7 +5,7 @@
 to it and when:
 
 - A response that may be longer than a node buffers is streamed shortly before the attempt's
-  deadline, as only its first byte has to be in time.
+  deadline, or before the balancer gives the request up, as only its first byte has to be in time.
 - A streamed response that is not long after all is ended shortly after the client's deadline.
 - A pause in a response is reported; how long it may be depends on whether it is streamed.
 """
@@ -75,8 +75,11 @@
 
     def _set_stream_timer(self, attempt: Attempt) -> None:
         if self._listener is not None:
-            due = attempt.deadline - STREAM_START_MARGIN_US
-            self._deadline_timer = self._clock.call_at(due, self._listener.on_stream_due)
+            given_up_at = attempt.given_up_at()
+            due = attempt.deadline if given_up_at is None else min(attempt.deadline, given_up_at)
+            self._deadline_timer = self._clock.call_at(
+                due - STREAM_START_MARGIN_US, self._listener.on_stream_due
+            )
 
     def on_stream_started(self, attempt: Attempt, *, is_long: bool) -> None:
         """Handle that the response is passed on from now on."""
--- a/tests/node/test_pausing_servers.py
+++ b/tests/node/test_pausing_servers.py
@@ -13,6 +13,7 @@
 PAUSE_S = 1.5
 LONG_BYTES = 100_000
 FIRST_BYTES = 20_000
+BODY_BYTES = 1_000_000  # more than is kept for a retry
 BRIEF_S = 0.4  # deadline of the class "brief"
 LATE_S = 0.5  # a response that is later than this after its time is lost
 
@@ -120,6 +121,24 @@
     assert first_s <= BRIEF_S
 
 
+# Guards against the same where the class has less time than the client, and the body is streamed.
+def test_long_response_to_a_long_body_is_whole_though_its_server_pauses_at_the_class_deadline():
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(BODY_BYTES)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG_BYTES)
+        await asyncio.sleep(1.2)
+        writer.write(b"z" * LONG_BYTES)
+
+    async def scenario():
+        async with RawServer(handle) as server, RunningNode(server) as node:
+            client = await node.client()
+            client.send("brief", "POST", body=b"x" * BODY_BYTES, X_Timeout="5000m")
+            assert (await read_whole(client))[:2] == (200, LONG_BYTES)
+
+    run(scenario())
+
+
 # Guards against a short response that is waited for after its time.
 def test_short_response_is_failed_in_time_if_its_server_pauses():
     server = PausingServer(FIRST_BYTES, 100, never_goes_on=True)
