Split what a message's headers mean from the forwarder; one way to send a command

Change: node/message_rules.py has what the headers and the status of a forwarded message mean; cli.common.send_command serves both commands. Nothing else changes.

--- a/oakbridge/cli/common.py
+++ b/oakbridge/cli/common.py
@@ -10,8 +10,12 @@
 import click
 
 from oakbridge.control.client import ControlClient
-from oakbridge.control.errors import NodeUnreachableError
+from oakbridge.control.errors import NodeUnreachableError, RequestRejectedError
 from oakbridge.control.paths import runtime_directory
+from oakbridge.control.protocol import ControlCommand
+
+# The options of ``socket_options``: the path of a control socket, and that of a configuration.
+NodeOptions = tuple[Path | None, Path | None]
 
 
 class CommandFailedError(click.ClickException):
@@ -75,6 +79,18 @@
         raise CommandFailedError(str(error)) from None
 
 
+def send_command(node_options: NodeOptions, command: ControlCommand, **arguments: Any) -> Any:
+    """Return a node's response to one command.
+
+    Raises CommandFailedError or InvalidInputError.
+    """
+    with connect(*node_options) as client:
+        try:
+            return client.request(command, **arguments)
+        except (NodeUnreachableError, RequestRejectedError) as error:
+            raise CommandFailedError(str(error)) from None
+
+
 def find_socket(socket_path: Path | None, config: Path | None) -> Path:
     """Return the path of the node's control socket, by the options or as the only one there is.
 
--- a/oakbridge/cli/peers.py
+++ b/oakbridge/cli/peers.py
@@ -12,14 +12,13 @@
 from rich.text import Text
 
 from oakbridge.cli.common import (
-    CommandFailedError,
-    connect,
+    NodeOptions,
     output_options,
     print_json,
+    send_command,
     socket_options,
 )
 from oakbridge.cli.control_output import show_result
-from oakbridge.control.errors import NodeUnreachableError, RequestRejectedError
 from oakbridge.control.protocol import ControlCommand
 
 STATE_STYLE = {
@@ -54,13 +53,9 @@
 @click.argument("name")
 @click.option("--json", "as_json", is_flag=True, help="As JSON.")
 @click.pass_obj
-def why(node_options: tuple[Path | None, Path | None], name: str, as_json: bool) -> None:
+def why(node_options: NodeOptions, name: str, as_json: bool) -> None:
     """Tell how this node came to hold what it holds of one member, oldest first."""
-    with connect(*node_options) as client:
-        try:
-            report = client.request(ControlCommand.PEER_HISTORY, name=name)
-        except (NodeUnreachableError, RequestRejectedError) as error:
-            raise CommandFailedError(str(error)) from None
+    report = send_command(node_options, ControlCommand.PEER_HISTORY, name=name)
     if as_json:
         print_json(report)
         return
--- a/oakbridge/cli/sites.py
+++ b/oakbridge/cli/sites.py
@@ -15,14 +15,14 @@
 from oakbridge.cli.common import (
     CommandFailedError,
     InvalidInputError,
-    connect,
+    NodeOptions,
     output_options,
     print_json,
+    send_command,
     socket_options,
 )
 from oakbridge.cli.control_output import show_result
 from oakbridge.config.errors import ConfigFileError
-from oakbridge.control.errors import NodeUnreachableError, RequestRejectedError
 from oakbridge.control.protocol import ControlCommand
 
 if TYPE_CHECKING:
@@ -58,23 +58,13 @@
         show_result(socket_path, config, ControlCommand.SITES, render_sites, as_json, watch, every)
 
 
-def _send_command(
-    node_options: tuple[Path | None, Path | None], command: ControlCommand, **arguments: Any
-) -> Any:
-    with connect(*node_options) as client:
-        try:
-            return client.request(command, **arguments)
-        except (NodeUnreachableError, RequestRejectedError) as error:
-            raise CommandFailedError(str(error)) from None
-
-
 @command.command("why")
 @click.argument("site")
 @click.option("--json", "as_json", is_flag=True, help="As JSON.")
 @click.pass_obj
-def why(node_options: tuple[Path | None, Path | None], site: str, as_json: bool) -> None:
+def why(node_options: NodeOptions, site: str, as_json: bool) -> None:
     """Tell how a site came into its state, oldest first."""
-    report = _send_command(node_options, ControlCommand.SITE_HISTORY, site=site)
+    report = send_command(node_options, ControlCommand.SITE_HISTORY, site=site)
     if as_json:
         print_json(report)
         return
@@ -87,7 +77,7 @@
 @command.command("drain")
 @click.argument("site")
 @click.pass_obj
-def drain(node_options: tuple[Path | None, Path | None], site: str) -> None:
+def drain(node_options: NodeOptions, site: str) -> None:
     """Take a site's load away in steps; `return` at any moment brings it back."""
     _drain_or_return(node_options, site, out=True)
 
@@ -95,16 +85,14 @@
 @command.command("return")
 @click.argument("site")
 @click.pass_obj
-def return_site(node_options: tuple[Path | None, Path | None], site: str) -> None:
+def return_site(node_options: NodeOptions, site: str) -> None:
     """Bring a drained site back in steps."""
     _drain_or_return(node_options, site, out=False)
 
 
-def _drain_or_return(
-    node_options: tuple[Path | None, Path | None], site: str, *, out: bool
-) -> None:
+def _drain_or_return(node_options: NodeOptions, site: str, *, out: bool) -> None:
     operator = getpass.getuser()
-    result = _send_command(
+    result = send_command(
         node_options, ControlCommand.DRAIN_OR_RETURN_SITE, site=site, out=out, by=operator
     )
     target_state = "drained" if result["out"] else "returned"
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -6,14 +6,19 @@
 from typing import Protocol
 
 from oakbridge.node.attempt import Attempt, AttemptEnd, ResponseSink
-from oakbridge.node.client_request import HOP_BY_HOP_HEADERS, ClientRequest
+from oakbridge.node.client_request import ClientRequest
 from oakbridge.node.clock import Clock
 from oakbridge.node.connection_pool import ConnectionPool
 from oakbridge.node.endpoint_updates import EndpointUpdates
 from oakbridge.node.forwarded_attempt import ForwardedAttempt, ForwardedResponse
 from oakbridge.node.http_framing import Headers
 from oakbridge.node.invariants import Invariant, InvariantCounters
-from oakbridge.node.load_report import parse_load_report
+from oakbridge.node.message_rules import (
+    end_to_end_headers,
+    is_request_fault,
+    load_report,
+    request_cost,
+)
 from oakbridge.node.request_ids import RequestIds
 from oakbridge.node.server_connection import ServerConnection
 from oakbridge.node.unserved_requests import UnservedRequests
@@ -37,14 +42,11 @@
 from oakbridge.policy.retry_safety import transfer_time
 from oakbridge.policy.settings import Idempotency, ReportSource, Settings
 
-# The 4xx statuses that don't mean that the request is invalid, nor that it has not run.
-RETRYABLE_CLIENT_ERRORS = (408, 425, 429)
 # A node that shuts down finishes its last responses this long before the process must exit.
 SHUTDOWN_MARGIN_US = 50_000
 # The balancer finishes each request by its deadline, and a process that is paused between two clock
 # readings is a little late.  Less than SHUTDOWN_MARGIN_US, so that it also holds at a shutdown.
 OVERDUE_GRACE_US = 20_000
-MAX_COST_DIGITS = 15
 
 
 class EventSink(Protocol):
@@ -153,7 +155,7 @@
                 self._tenant(request),
                 request.header_values.get(b"x-retried") == b"1",
                 request.header_text(b"x-route-key"),
-                _cost(request),
+                request_cost(request),
                 streamed=request.streamed_body is not None,
                 body_bytes=len(request.body),
             ),
@@ -342,7 +344,7 @@
     ) -> ResponseSink | None:
         """Start to stream a long response; for the balancer, the attempt has ended with OK."""
         request = forwarded.request
-        headers = _end_to_end_headers(end.headers)
+        headers = end_to_end_headers(end.headers)
         source = ForwardedResponse(self._pool, request, connection)
         if not request.client.start_response(request, end.status, headers, length, source):
             return None
@@ -362,9 +364,9 @@
             return
         result = end.result
         if result == AttemptResult.OK and not request.response_settled:
-            request.client.respond(request, 200, _end_to_end_headers(end.headers), end.body)
+            request.client.respond(request, 200, end_to_end_headers(end.headers), end.body)
             self.served += 1
-        elif result == AttemptResult.ERROR and _is_request_fault(end.status):
+        elif result == AttemptResult.ERROR and is_request_fault(end.status):
             # Any server would refuse this request, so its response does not count against the
             # server.
             request.client.respond(request, end.status, [], b"")
@@ -403,8 +405,7 @@
     def _load_report(self, end: AttemptEnd) -> dict[str, float] | None:
         if self._settings.report_source != ReportSource.RESPONSES:
             return None
-        text = dict(end.headers).get(b"x-server-load")
-        return parse_load_report(text.decode("latin-1")) if text else None
+        return load_report(end)
 
     def reject(self, action: RejectRequest) -> None:
         """Reject a request for which the balancer has no server in time, with a 503."""
@@ -454,19 +455,3 @@
         if request.overdue_timer is not None:
             request.overdue_timer.cancel()
             request.overdue_timer = None
-
-
-def _end_to_end_headers(headers: Headers) -> Headers:
-    """Return the headers without hop-by-hop ones, which are not forwarded."""
-    return [(name, value) for name, value in headers if name not in HOP_BY_HOP_HEADERS]
-
-
-def _is_request_fault(status: int) -> bool:
-    """Return whether a response's status means that no server will serve this request."""
-    return 400 <= status < 500 and status not in RETRYABLE_CLIENT_ERRORS
-
-
-def _cost(request: ClientRequest) -> int:
-    """Return the cost in the client's X-Cost, in the unit of the settings; 0 without one."""
-    cost = request.header_text(b"x-cost")
-    return int(cost) if cost.isascii() and cost.isdigit() and len(cost) <= MAX_COST_DIGITS else 0
