--- a/tests/handover/test_request_ids.py
+++ b/tests/handover/test_request_ids.py
@@ -102,3 +102,45 @@
             assert server.runs() == ["sent-1", "safe-1", "safe-1"]
 
     run(scenario())
+
+
+# Guards against ids that a process passes on to its successor and does not hear of any more.
+def test_ids_of_a_predecessor_reach_the_successor_of_its_successor(tmp_path):
+    async def scenario():
+        async with HoldingServer() as server, NodeProcesses(tmp_path, server) as node:
+            first = await node.start_and_wait()
+            held = await send_book(node, "held-1", "/held")
+            look = await node.connect_client()
+            look.send(url="/held", X_Request_ID="safe-1")
+            await until(lambda: server.requests.qsize() == 2)
+            await node.start_and_wait()
+            await node.start_and_wait()
+            assert await status_of_book(node, "held-1") == 409
+            assert await status_of_book(node, "safe-1") == 409
+            server.release.set()
+            assert (await held.read_response())[0] == (await look.read_response())[0] == 200
+            first.send_signal(signal.SIGTERM)
+            assert await with_timeout(first.wait()) == 0
+            assert await status_of_book(node, "held-1") == 409
+            again = await node.connect_client()
+            again.send(X_Request_ID="safe-1")
+            assert (await again.read_response())[0] == 200
+
+    run(scenario())
+
+
+# Guards against a booking that runs again after the kill of the process that had sent it.
+def test_id_that_is_open_at_a_killed_predecessor_is_rejected_by_successor(tmp_path):
+    async def scenario():
+        async with HoldingServer() as server, NodeProcesses(tmp_path, server) as node:
+            predecessor = await node.start_and_wait()
+            held = await send_book(node, "held-1", "/held")
+            await until(lambda: server.requests.qsize() == 1)
+            await node.start_and_wait()
+            predecessor.kill()
+            assert await with_timeout(predecessor.wait())
+            assert await held.read_until_close() == b""
+            assert await status_of_book(node, "held-1") == 409
+            assert server.runs() == ["held-1"]
+
+    run(scenario())
