Responses: one that nobody waits for is given up at its time, and is asked for once

What callers saw: nothing was reported; found on a second reading. Where the settings allow no cancelling, a client left, and its server paused within a long response: the node asked for its sink anew in each turn of its loop from shortly before the deadline, without end.

Cause: no sink left the response buffered, which set the same timer again, for a time that had passed; the attempt's own timer was cancelled already.

Change: a response without a sink ends its attempt there. A timer of the dial and one of the delivery are one, the balancer's outlook is called without two methods between, and a socket path counts as free only where a connect is refused or no file is there.

--- a/oakbridge/handover/unix_socket.py
+++ b/oakbridge/handover/unix_socket.py
@@ -79,12 +79,14 @@
 
 
 def is_listening(path: Path) -> bool:
-    """Return whether a process listens at this path; False, too, if that can't be told."""
+    """Return whether a process listens at this path; True, too, if that can't be told now."""
     try:
         with _unix_socket() as sock:
             _connect(sock, path)
-    except OSError:
+    except (ConnectionRefusedError, FileNotFoundError):
         return False
+    except OSError:
+        return True
     return True
 
 
--- a/oakbridge/node/forwarded_attempt.py
+++ b/oakbridge/node/forwarded_attempt.py
@@ -42,14 +42,6 @@
         """Return whether the client still waits for the response."""
         return not (self.request.response_settled or self.request.client.client_has_closed())
 
-    def given_up_at(self) -> int | None:
-        """Return when the balancer will give the request up; None: it does not know the request."""
-        return self._forwarder.given_up_at(self.request)
-
-    def can_retry(self) -> bool:
-        """Return whether the request would be retried if this attempt failed now."""
-        return self._forwarder.can_retry(self.request)
-
     def on_request_sent(self) -> None:
         """Report that the last byte of a streamed body is written."""
         self._forwarder.on_body_sent(self)
--- a/oakbridge/node/request_forwarder.py
+++ b/oakbridge/node/request_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from functools import partial
 from typing import Protocol
 
 from oakbridge.node.attempt import Attempt, AttemptEnd, ResponseSink
@@ -288,20 +289,12 @@
             start_by=start_by,
             deliver_by=None if start_by is None else start_by + transfer_time(len(request.body)),
             client_deadline=now + self._response_time_left(request, now),
-            given_up_at=forwarded.given_up_at,
-            can_retry=forwarded.can_retry,
+            given_up_at=partial(self._outlook.given_up_at, request.id),
+            can_retry=partial(self._outlook.can_retry, request.id),
             is_wanted=forwarded.is_wanted,
         )
         self._pool.send(request.attempt)
 
-    def given_up_at(self, request: ClientRequest) -> int | None:
-        """Return when the balancer will give a request up; None: it does not know the request."""
-        return self._outlook.given_up_at(request.id)
-
-    def can_retry(self, request: ClientRequest) -> bool:
-        """Return whether a request would be retried if its attempt failed now."""
-        return self._outlook.can_retry(request.id)
-
     def _post_unsent_end(self, request: ClientRequest | None, action: SendAttempt) -> None:
         """Post the end of an attempt that was never sent: the balancer expects one for each."""
         number, over = 0, True
--- a/oakbridge/node/server_connection.py
+++ b/oakbridge/node/server_connection.py
@@ -48,11 +48,10 @@
 
     __slots__ = (
         "_awaits_writable",
-        "_delivery_timer",
-        "_dial_timer",
         "_has_served",
         "_memory",
         "_pool",
+        "_request_timer",
         "_response",
         "_response_timers",
         "_sock",
@@ -82,8 +81,7 @@
         self._awaits_writable = False
         self._unsent = UnsentRequest()
         self.paused = False  # the buffers towards the client are full
-        self._dial_timer: Timer | None = None
-        self._delivery_timer: Timer | None = None  # until when the server must have the request
+        self._request_timer: Timer | None = None  # of the dial, then of the request's delivery
         self._response_timers = ResponseTimers(pool.clock, self)
         self._response = ResponseParser(self._open_sink, pool.memory)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -106,7 +104,7 @@
         elif error_number in _CONNECTING:
             if timeout_us:
                 due = self._pool.clock.now() + timeout_us
-                self._dial_timer = self._pool.clock.call_at(due, self._fail)
+                self._request_timer = self._pool.clock.call_at(due, self._fail)
             self._await_writable(self._on_connect_done)
         elif is_local_connect_error(error_number):
             raise OSError(error_number, os.strerror(error_number))
@@ -116,7 +114,7 @@
 
     def _on_connect_done(self) -> None:
         self._stop_awaiting_writable()
-        self._stop_dial_timer()
+        self._stop_request_timer()
         if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self._fail()
             if self._pool.observer is not None:
@@ -156,7 +154,7 @@
         if attempt.streamed_body is not None:
             attempt.streamed_body.attach(self._on_body_available)
         if attempt.deliver_by is not None:
-            self._delivery_timer = self._pool.clock.call_at(
+            self._request_timer = self._pool.clock.call_at(
                 attempt.deliver_by, self._on_delivery_due
             )
         self._write()
@@ -174,7 +172,7 @@
             self._fail()
             return
         due = self._pool.clock.now() + ACKNOWLEDGEMENT_DELAY_US
-        self._delivery_timer = self._pool.clock.call_at(due, self._on_acknowledgement_due)
+        self._request_timer = self._pool.clock.call_at(due, self._on_acknowledgement_due)
 
     def _on_acknowledgement_due(self) -> None:
         """Break the request off if its last byte has not arrived: it may be sent again later."""
@@ -311,8 +309,12 @@
 
     def on_stream_due(self) -> None:
         """Stream a response that may be long before its deadline."""
-        if self.attempt is not None and self._response.may_be_long():
-            self._response.start_streaming()
+        if self.attempt is None or not self._response.may_be_long():
+            return
+        self._response.start_streaming()
+        if self._response.sink is None:
+            self._fail()  # its client has gone, or the request is not written
+        else:
             self._restart_response_timers()
 
     def on_short_response_due(self) -> None:
@@ -360,7 +362,7 @@
             self._fail()  # the request is incomplete, so this is not its response
             return
         self._response_timers.stop()
-        self._stop_delivery_timer()
+        self._stop_request_timer()
         attempt, self.attempt = self.attempt, None
         sink = response.detach_sink()
         if sink is not None:
@@ -411,15 +413,10 @@
             return True
         return True  # end of file, or bytes that belong to no request
 
-    def _stop_dial_timer(self) -> None:
-        if self._dial_timer is not None:
-            self._dial_timer.cancel()
-            self._dial_timer = None
-
-    def _stop_delivery_timer(self) -> None:
-        if self._delivery_timer is not None:
-            self._delivery_timer.cancel()
-            self._delivery_timer = None
+    def _stop_request_timer(self) -> None:
+        if self._request_timer is not None:
+            self._request_timer.cancel()
+            self._request_timer = None
 
     def _run_guarded(self, callback: Callable[[], None]) -> None:
         """Run a callback of the loop; an exception closes only this connection."""
@@ -463,8 +460,7 @@
         self.closed = True
         if unacknowledged_kernel_bytes(self._sock):
             reset_on_close(self._sock)
-        self._stop_dial_timer()
-        self._stop_delivery_timer()
+        self._stop_request_timer()
         self._response_timers.release()
         self._pool.loop.remove_reader(self._sock)
         self._stop_awaiting_writable()
--- a/tests/node/test_pausing_servers.py
+++ b/tests/node/test_pausing_servers.py
@@ -228,3 +228,22 @@
             assert (await read_whole(client))[0] == status
 
     run(scenario())
+
+
+# Guards against a node that asks again and again for a client that has gone.
+def test_long_response_that_nobody_waits_for_is_given_up_at_its_deadline():
+    server = PausingServer(LONG_BYTES, 0, never_goes_on=True)
+    settings = SETTINGS | {"allowed": SETTINGS["allowed"] | {"cancelling": False}}
+
+    async def scenario():
+        async with (
+            RawServer(server.handle) as listening,
+            RunningNode(listening, settings=settings) as node,
+        ):
+            client = await node.client()
+            client.send("brief", "POST", body=b"trip")
+            await until(lambda: server.runs)
+            client.close()
+            await until(lambda: not node.node.pool.connection_count)
+
+    run(scenario())
