Responses: one without a sink is ended by its attempt's deadline, not 0.1 s before

Cause: ended an attempt whose response found no sink when it was to be streamed, 0.1 s before the deadline.

Change: the attempt's timer is cancelled only once there is a sink, so that it ends the attempt where there is none; nothing is set anew. The test is as it was.

--- a/oakbridge/node/server_connection.py
+++ b/oakbridge/node/server_connection.py
@@ -308,13 +308,11 @@
         self._fail()
 
     def on_stream_due(self) -> None:
-        """Stream a response that may be long before its deadline."""
+        """Stream a response that may be long; if nobody wants it, the attempt's deadline ends it."""
         if self.attempt is None or not self._response.may_be_long():
             return
         self._response.start_streaming()
-        if self._response.sink is None:
-            self._fail()  # its client has gone, or the request is not written
-        else:
+        if self._response.sink is not None:
             self._restart_response_timers()
 
     def on_short_response_due(self) -> None:
@@ -349,11 +347,14 @@
         result = response.result()
         if result != AttemptResult.OK or not self.request_written():
             return None
+        end = AttemptEnd(result, response.headers, status=response.status)
+        sink = attempt.on_response_start(end, response.content_length, self)
+        if sink is None:
+            return None
         if attempt.timer is not None:
             attempt.timer.cancel()  # the deadline does not apply once the response has started
         self._response_timers.on_stream_started(attempt, is_long=response.is_long())
-        end = AttemptEnd(result, response.headers, status=response.status)
-        return attempt.on_response_start(end, response.content_length, self)
+        return sink
 
     def _on_response_complete(self) -> None:
         response = self._response
